--- /dev/null
+++ b/launch/fleet.ts
@@ -0,0 +1,188 @@
+/** A small fleet of separate processes on loopback, for `npm start` and for process tests. */
+import { mkdtempSync, rmSync, writeFileSync } from 'node:fs';
+import { tmpdir } from 'node:os';
+import { join } from 'node:path';
+import { stringify } from 'smol-toml';
+import { getSha256 } from '../src/core/utilities.js';
+import { startProcess, stopProcess, type StartedProcess } from './processes.js';
+
+/** Options of a fleet. */
+export interface FleetOptions {
+  /** Default 3. */
+  readonly routers?: number;
+  /** Default 4. */
+  readonly engines?: number;
+  /** Default 2. */
+  readonly services?: number;
+  readonly showErrors?: boolean;
+  readonly engineArgs?: readonly string[];
+  readonly logArgs?: readonly string[];
+  /** The first port of the routers; free ones are taken without it. */
+  readonly firstPort?: number;
+  /** Settings that differ from the sample's, by section. */
+  readonly settings?: Readonly<Record<string, Readonly<Record<string, unknown>>>>;
+  /** Tokens of the sample budget. Default 1,000,000. */
+  readonly tokens?: number;
+}
+
+/** A started fleet. */
+export interface Fleet {
+  readonly log: StartedProcess;
+  readonly vms: StartedProcess;
+  readonly routers: StartedProcess[];
+  readonly engines: StartedProcess[];
+  readonly services: StartedProcess[];
+  readonly logUrl: string;
+  readonly vmsUrl: string;
+  readonly routerUrls: string[];
+  readonly rulesFile: string;
+  readonly folder: string;
+  readonly startRouter: (number: number, port?: number) => Promise<StartedProcess>;
+  readonly stop: () => Promise<void>;
+}
+
+/** The callers of the sample rules and their keys. */
+export const sampleKeys = { yard: 'yard-sample-key', shop: 'shop-sample-key' } as const;
+
+const ZONES = ['lima-costa-a', 'lima-costa-b', 'lima-costa-c'];
+const SAMPLE_SHARED_KEY = 'sample-shared-key-of-the-fleet';
+
+/** Starts a fleet and registers every process in the vm list. */
+export async function startFleet(options: FleetOptions = {}): Promise<Fleet> {
+  const { routers = 3, engines = 4, services = 2, firstPort = 0, showErrors = false } = options;
+  const folder = mkdtempSync(join(tmpdir(), 'shallotrock-'));
+  const start = (kind: string, args: readonly string[] = []) =>
+    startProcess({ script: 'dist/standins/main.js', args: [kind, ...args], showErrors });
+  const [log, vms] = await Promise.all([start('log', options.logArgs), start('vms')]);
+  const logUrl = `http://127.0.0.1:${log.port}`;
+  const vmsUrl = `http://127.0.0.1:${vms.port}`;
+  const startMany = async (kind: string, count: number, args: readonly string[] = []) => {
+    const started = await Promise.all(Array.from({ length: count }, () => start(kind, args)));
+    await Promise.all(
+      started.map(({ port }, index) => registerVm(vmsUrl, `${kind}-${index + 1}`, port, index)),
+    );
+    return started;
+  };
+  const startedEngines = await startMany('engine', engines, options.engineArgs);
+  const startedServices = await startMany('service', services);
+  const startRouter = async (number: number, port = 0) => {
+    const config = writeSettings({ folder, number, port, logUrl, vmsUrl, options });
+    const args = ['router', '--config', config];
+    const started = await startProcess({
+      script: 'dist/src/daemons/shallotrock.js',
+      args,
+      showErrors,
+    });
+    await registerVm(vmsUrl, `router-${number}`, started.port, number - 1);
+    return started;
+  };
+  const startedRouters = await Promise.all(
+    Array.from({ length: routers }, (_, index) =>
+      startRouter(index + 1, firstPort === 0 ? 0 : firstPort + index),
+    ),
+  );
+  const all = [log, vms, ...startedEngines, ...startedServices];
+  return {
+    log,
+    vms,
+    routers: startedRouters,
+    engines: startedEngines,
+    services: startedServices,
+    logUrl,
+    vmsUrl,
+    routerUrls: startedRouters.map(({ port }) => `http://127.0.0.1:${port}`),
+    rulesFile: writeRules(folder, options.tokens ?? 1_000_000),
+    folder,
+    startRouter,
+    stop: async () => {
+      startedRouters.forEach(({ child }) => child.kill('SIGCONT'));
+      await Promise.all(startedRouters.map(stopProcess));
+      all.forEach(({ child }) => child.kill('SIGKILL'));
+      await Promise.all(all.map(({ ended }) => ended));
+      rmSync(folder, { recursive: true });
+    },
+  };
+}
+
+/** Sets a stand-in's faults. */
+export async function control(url: string, faults: object): Promise<void> {
+  await fetch(`${url}/control`, { method: 'POST', body: JSON.stringify(faults) });
+}
+
+/** Waits until a router is ready to serve. */
+export async function waitUntilReady(url: string, timeoutMs = 15_000): Promise<void> {
+  const until = Date.now() + timeoutMs;
+  for (;;) {
+    const response = await fetch(`${url}/readyz`).catch(() => undefined);
+    if (response?.status === 200) {
+      return;
+    }
+    if (Date.now() > until) {
+      throw new Error(`${url} is not ready after ${timeoutMs} ms`);
+    }
+
+    await new Promise((resolve) => {
+      setTimeout(resolve, 50);
+    });
+  }
+}
+
+async function registerVm(vmsUrl: string, vm: string, port: number, index: number): Promise<void> {
+  const availabilityZone = ZONES[index % ZONES.length];
+  const entry = { vm, host: '127.0.0.1', port, availabilityZone, state: 'live' };
+  await fetch(`${vmsUrl}/vms/${vm}`, { method: 'PUT', body: JSON.stringify(entry) });
+}
+
+interface SettingsFileOptions {
+  readonly folder: string;
+  readonly number: number;
+  readonly port: number;
+  readonly logUrl: string;
+  readonly vmsUrl: string;
+  readonly options: FleetOptions;
+}
+
+function writeSettings(file: SettingsFileOptions): string {
+  const { folder, number, port, logUrl, vmsUrl, options } = file;
+  const { settings = {} } = options;
+  const sample: Record<string, Record<string, unknown>> = {
+    router: {
+      vm: `router-${number}`,
+      availabilityZone: ZONES[(number - 1) % ZONES.length],
+      listen: `127.0.0.1:${port}`,
+    },
+    log: { url: logUrl },
+    vms: { url: vmsUrl, pollMs: 500 },
+    peers: { sharedKey: SAMPLE_SHARED_KEY, probeIntervalMs: 500 },
+    logging: { format: 'pretty', level: 'info' },
+  };
+  Object.entries(settings).forEach(([section, values]) => {
+    sample[section] = { ...sample[section], ...values };
+  });
+  const path = join(folder, `router-${number}.toml`);
+  writeFileSync(path, stringify(sample));
+  return path;
+}
+
+function writeRules(folder: string, tokens: number): string {
+  const path = join(folder, 'sample.rules');
+  const lines = [
+    '# Sample rules: one line a rule, each with a comment that names who asked for it.',
+    'service assistant type=engine models=quill-small,quill-large   # Rosa',
+    'service orders type=plain once=POST:/orders call-tokens=5      # Rosa',
+    'endpoint engine-* service=assistant slots=16                   # Rosa',
+    'endpoint service-* service=orders slots=32                     # Rosa',
+    'budget yard-quotes workspace=yard horizon=30s                  # Rosa',
+    `fund opening budget=yard-quotes tokens=${tokens}               # Rosa`,
+    'budget shop-quotes workspace=shop horizon=10s                  # Mei-Ling',
+    `fund opening budget=shop-quotes tokens=${tokens}               # Mei-Ling`,
+    `key yard-web workspace=yard sha256=${getSha256(sampleKeys.yard)} # Rosa`,
+    `key shop-web workspace=shop sha256=${getSha256(sampleKeys.shop)} # Mei-Ling`,
+    'allow yard-web budget=yard-quotes service=assistant priority=7 worth=10 # Rosa',
+    'allow yard-web budget=yard-quotes service=orders priority=9 worth=50    # Rosa',
+    'allow shop-web budget=shop-quotes service=assistant priority=5 worth=5  # Mei-Ling',
+    'allow shop-web budget=shop-quotes service=orders priority=9 worth=50    # Mei-Ling',
+  ];
+  writeFileSync(path, `${lines.join('\n')}\n`);
+  return path;
+}
--- /dev/null
+++ b/launch/start.ts
@@ -0,0 +1,97 @@
+/**
+ * `npm start`: starts a small fleet, applies the sample rules, sends a quote and an order, prints both
+ * answers and the bill, then serves until Ctrl-C. `--once` ends after the audit instead.
+ */
+import { parseArgs } from 'node:util';
+import { runMain } from '../src/commands/main.js';
+import { control, sampleKeys, startFleet, waitUntilReady, type Fleet } from './fleet.js';
+
+const FIRST_PORT = 8080;
+
+const { values } = parseArgs({
+  options: {
+    once: { type: 'boolean', default: false },
+    ports: { type: 'string', default: 'fixed' },
+    verbose: { type: 'boolean', default: false },
+  },
+});
+
+const output = {
+  out: (text: string) => process.stdout.write(`${text}\n`),
+  error: (text: string) => process.stderr.write(`${text}\n`),
+  isTerminal: false,
+};
+
+async function sendSamples({ routerUrls }: Fleet): Promise<void> {
+  const [url] = routerUrls;
+  const authorization = `Bearer ${sampleKeys.yard}`;
+  const headers = { authorization, 'content-type': 'application/json' };
+  const quote = await fetch(`${url}/v1/chat/completions`, {
+    method: 'POST',
+    headers,
+    body: JSON.stringify({
+      model: 'quill-small',
+      stream: true,
+      max_tokens: 40,
+      messages: [{ role: 'user', content: 'A quote for twelve ash poles, please.' }],
+    }),
+  });
+  output.out(`quote, as streamed:\n${await quote.text()}`);
+  const order = await fetch(`${url}/services/orders/orders`, {
+    method: 'POST',
+    headers: { ...headers, 'idempotency-key': `sample-${process.pid}` },
+    body: JSON.stringify({ item: 'ash pole', count: 12 }),
+  });
+  output.out(`order: ${order.status} ${await order.text()}`);
+}
+
+async function runCommand(...args: string[]): Promise<void> {
+  const code = await runMain(args, output);
+  if (code !== 0) {
+    throw new Error(`'shallotrock ${args.join(' ')}' ended with ${code}`);
+  }
+}
+
+async function showBill(fleet: Fleet): Promise<void> {
+  await runCommand('budgets', '--log', fleet.logUrl);
+  await runCommand('audit', '--log', fleet.logUrl);
+}
+
+function waitForSignal(): Promise<void> {
+  return new Promise((resolve) => {
+    process.once('SIGINT', resolve);
+    process.once('SIGTERM', resolve);
+  });
+}
+
+async function run(): Promise<void> {
+  const isAuto = values.ports === 'auto' || values.once;
+  const fleet = await startFleet({
+    firstPort: isAuto ? 0 : FIRST_PORT,
+    showErrors: values.verbose,
+  });
+  try {
+    await runCommand('rules', 'apply', fleet.rulesFile, '--log', fleet.logUrl);
+    await Promise.all(fleet.routerUrls.map((url) => waitUntilReady(url)));
+    await sendSamples(fleet);
+    await showBill(fleet);
+    const endpoints = [...fleet.engines, ...fleet.services];
+    const ready = {
+      ready: true,
+      routers: fleet.routerUrls,
+      endpoints: endpoints.map(({ port }) => `http://127.0.0.1:${port}`),
+      log: fleet.logUrl,
+      vms: fleet.vmsUrl,
+      keys: sampleKeys,
+    };
+    output.out(JSON.stringify(ready));
+    if (!values.once) {
+      await waitForSignal();
+    }
+  } finally {
+    await control(fleet.logUrl, { outage: false });
+    await fleet.stop();
+  }
+}
+
+await run();
--- /dev/null
+++ b/src/audit/auditCalls.ts
@@ -0,0 +1,114 @@
+/** Checks bills, claims and rules. */
+import type { ClaimKey, Incarnation } from '../types/ids.js';
+import type { Entry } from '../types/records.js';
+import type { StreamDump } from '../commands/streamDump.js';
+import { BillFold } from '../folds/billFold.js';
+import { ClaimFold } from '../folds/claimFold.js';
+import { DuplicateFilter } from '../folds/fold.js';
+import { RulesFold } from '../folds/rulesFold.js';
+import type { AuditedPromise, Finding } from './finding.js';
+
+/** Looks for requests billed twice by one process or to two budgets. */
+export function auditBills(dump: StreamDump): { fold: BillFold; findings: Finding[] } {
+  const fold = new BillFold();
+  forEachEntry(dump, (entry, offset, incarnation) => fold.apply(entry, { offset, incarnation }));
+  const findings = fold.repeats.map(({ entry, holder, offset }): Finding => {
+    const first = fold.bills.get(entry.request)!;
+    const isSame = first.entry.budget === entry.budget && first.holder !== holder;
+    return {
+      promise: 'billedOnce',
+      severity: isSame ? 'note' : 'broken',
+      stream: dump.stream,
+      offset,
+      detail: isSame
+        ? `request ${entry.request}: a repeat at ${holder} does not count`
+        : `request ${entry.request}: billed at offset ${first.offset} already`,
+    };
+  });
+  return { fold, findings };
+}
+
+/** Looks for outcomes of calls that their holder had no claim to run. */
+export function auditClaims(dump: StreamDump): Finding[] {
+  const fold = new ClaimFold();
+  const findings: Finding[] = [];
+  const ran = new Map<ClaimKey, Incarnation>();
+  forEachEntry(dump, (entry, offset, incarnation) => {
+    const problem = findClaimProblem(entry, incarnation, fold, ran);
+    if (problem !== undefined) {
+      findings.push(createBroken('runAtMostOnce', dump.stream, offset, problem));
+    }
+    if (entry.kind === 'outcome') {
+      ran.set(entry.key, incarnation);
+    }
+    fold.apply(entry, { offset, incarnation });
+  });
+  return findings;
+}
+
+function findClaimProblem(
+  entry: Entry,
+  incarnation: Incarnation,
+  fold: ClaimFold,
+  ran: ReadonlyMap<ClaimKey, Incarnation>,
+): string | undefined {
+  if (entry.kind === 'release' && ran.get(entry.key) === incarnation) {
+    return `call ${entry.key}: ${incarnation} ran it and released it`;
+  }
+  if (entry.kind !== 'outcome') {
+    return undefined;
+  }
+  const claim = fold.claims.get(entry.key);
+  if (ran.has(entry.key)) {
+    return `call ${entry.key}: ran at ${ran.get(entry.key)} and at ${incarnation}`;
+  }
+  if (claim?.holder !== incarnation) {
+    return `call ${entry.key}: ran at ${incarnation}, claimed by ${claim?.holder ?? 'nobody'}`;
+  }
+  return undefined;
+}
+
+/** Replays the rules; each accepted edit must follow from the one before. */
+export function auditRules(dump: StreamDump): { fold: RulesFold; findings: Finding[] } {
+  const fold = new RulesFold();
+  const findings: Finding[] = [];
+  forEachEntry(dump, (entry, offset) => {
+    const before = fold.version;
+    fold.apply(entry);
+    if (entry.kind === 'edit' && entry.base === before && fold.version === before) {
+      const detail = `edit ${entry.edit}: its digest does not match its text; it was not accepted`;
+      findings.push({
+        promise: 'rulesNeverRevert',
+        severity: 'note',
+        stream: dump.stream,
+        offset,
+        detail,
+      });
+    }
+    if (fold.version < before) {
+      findings.push(createBroken('rulesNeverRevert', dump.stream, offset, 'the version fell'));
+    }
+  });
+  return { fold, findings };
+}
+
+function createBroken(
+  promise: AuditedPromise,
+  stream: string,
+  offset: number,
+  detail: string,
+): Finding {
+  return { promise, severity: 'broken', stream, offset, detail };
+}
+
+function forEachEntry(
+  dump: StreamDump,
+  visit: (entry: Entry, offset: StreamDump['first'], incarnation: Incarnation) => void,
+): void {
+  const duplicates = new DuplicateFilter();
+  dump.batches
+    .filter(({ batch }) => duplicates.accept(batch))
+    .forEach(({ offset, batch }) => {
+      batch.entries.forEach((entry) => visit(entry, offset, batch.incarnation));
+    });
+}
--- /dev/null
+++ b/src/audit/auditLog.ts
@@ -0,0 +1,66 @@
+/** Audits a whole log. */
+import type { StreamDump } from '../commands/streamDump.js';
+import { auditBilledTotals, auditBudgetStream } from './auditBudgets.js';
+import { auditBills, auditClaims, auditRules } from './auditCalls.js';
+import { promiseTexts, type AuditedPromise, type Finding } from './finding.js';
+
+/** The streams of a log. */
+export interface LogDump {
+  readonly rules: StreamDump;
+  readonly budgets: readonly StreamDump[];
+  readonly claims: StreamDump;
+  readonly bills: StreamDump;
+}
+
+/** The result for each promise. */
+export interface AuditReport {
+  readonly promises: readonly {
+    readonly promise: AuditedPromise;
+    readonly text: string;
+    readonly held: boolean;
+  }[];
+  readonly findings: readonly Finding[];
+  readonly bills: number;
+  readonly billedTokens: number;
+  /** Streams whose older records are gone, so that only a part was audited. */
+  readonly partial: readonly string[];
+}
+
+/**
+ * Folds every stream and reports which promises held.
+ *
+ * @example
+ * const report = auditLog(dump);
+ * const isClean = report.promises.every(({ held }) => held);
+ */
+export function auditLog(dump: LogDump): AuditReport {
+  const budgets = dump.budgets.map(auditBudgetStream);
+  const bills = auditBills(dump.bills);
+  const folds = budgets.map(({ fold }) => fold);
+  const findings = [
+    ...budgets.flatMap((budget) => budget.findings),
+    ...auditBilledTotals(folds, bills.fold.bills.values()),
+    ...bills.findings,
+    ...auditClaims(dump.claims),
+    ...auditRules(dump.rules).findings,
+  ];
+  const names = Object.keys(promiseTexts) as AuditedPromise[];
+  const streams = [dump.rules, ...dump.budgets, dump.claims, dump.bills];
+  let billedTokens = 0;
+  bills.fold.bills.forEach(({ entry }) => {
+    billedTokens += entry.promptTokens + entry.completionTokens;
+  });
+  return {
+    promises: names.map((promise) => ({
+      promise,
+      text: promiseTexts[promise],
+      held: !findings.some(
+        (finding) => finding.promise === promise && finding.severity === 'broken',
+      ),
+    })),
+    findings,
+    bills: bills.fold.bills.size,
+    billedTokens,
+    partial: streams.filter(({ first }) => first > 0).map(({ stream }) => stream),
+  };
+}
--- /dev/null
+++ b/src/commands/command.ts
@@ -0,0 +1,69 @@
+/** What the commands share. */
+import { parseArgs, type ParseArgsConfig } from 'node:util';
+import { HttpLog } from '../platform/httpLog.js';
+import { getErrorMessage } from '../core/utilities.js';
+import { exitCodes, type ExitCode } from './exitCodes.js';
+
+/** Where a command prints to. */
+export interface Output {
+  readonly out: (text: string) => void;
+  readonly error: (text: string) => void;
+  /** Whether a person watches, so that progress may be shown. */
+  readonly isTerminal: boolean;
+}
+
+/** One command of the command line. */
+export interface Command {
+  readonly name: string;
+  /** One line for the list of commands. */
+  readonly summary: string;
+  /** The whole help. */
+  readonly help: string;
+  readonly run: (args: readonly string[], output: Output) => Promise<ExitCode>;
+}
+
+/** Parsed arguments of a command. */
+export interface Arguments {
+  readonly positionals: readonly string[];
+  readonly values: Readonly<Record<string, string | boolean | undefined>>;
+}
+
+/** A wrong use of the command line. */
+export class UsageError extends Error {}
+
+/** Parses arguments strictly; unknown ones are a usage error. */
+export function parseCommandArgs(
+  args: readonly string[],
+  options: NonNullable<ParseArgsConfig['options']>,
+): Arguments {
+  try {
+    const parsed = parseArgs({ args: [...args], options, allowPositionals: true, strict: true });
+    return parsed as Arguments;
+  } catch (error) {
+    throw new UsageError(getErrorMessage(error));
+  }
+}
+
+/** Returns an option that must be there. */
+export function getRequired(values: Arguments['values'], name: string): string {
+  const value = values[name];
+  if (typeof value !== 'string' || value === '') {
+    throw new UsageError(`--${name} is missing`);
+  }
+  return value;
+}
+
+/** Opens the log that `--log` names. */
+export function openLog(values: Arguments['values']): HttpLog {
+  const url = getRequired(values, 'log');
+  if (!URL.canParse(url)) {
+    throw new UsageError(`--log: expected a URL, found '${url}'`);
+  }
+  return new HttpLog({ url });
+}
+
+/** Prints that the log could not be read. */
+export function reportUnavailable(output: Output, detail: string): ExitCode {
+  output.error(`error 8001: ${detail}`);
+  return exitCodes.unavailable;
+}
--- /dev/null
+++ b/src/commands/routerCommand.ts
@@ -0,0 +1,89 @@
+/** `shallotrock router --config FILE`: the daemon. */
+import { createLogger } from '../core/logging.js';
+import { createMetrics } from '../core/metrics.js';
+import { formatSettingsProblem, readSettings, type Settings } from '../core/settings.js';
+import { SystemTimers } from '../core/timers.js';
+import { createDeferred } from '../core/utilities.js';
+import { HttpPeerClient } from '../peers/peerRpc.js';
+import { HttpEndpointClient } from '../platform/httpEndpointClient.js';
+import { HttpLog } from '../platform/httpLog.js';
+import { HttpVmList } from '../platform/httpVmList.js';
+import { Router } from '../router.js';
+import { getRequired, parseCommandArgs, type Command, type Output } from './command.js';
+import { exitCodes, type ExitCode } from './exitCodes.js';
+
+const help = `Usage: shallotrock router --config FILE
+
+Runs a router until SIGTERM or SIGINT; then it refuses new requests, lets those in flight end, gives
+back its allotments and exits. Prints {"listening":PORT} once it listens. Logs go to standard error.
+
+Exit codes: 0 stopped; 2 an error in the settings
+`;
+
+/** The command. */
+export const routerCommand: Command = {
+  name: 'router',
+  summary: 'run a router',
+  help,
+  run: runRouter,
+};
+
+async function runRouter(args: readonly string[], output: Output): Promise<ExitCode> {
+  const { values } = parseCommandArgs(args, { config: { type: 'string' } });
+  const settings = readSettings(getRequired(values, 'config'));
+  if (settings.err) {
+    settings.val.forEach((problem) => output.error(formatSettingsProblem(problem)));
+    return exitCodes.usage;
+  }
+  const { router, closeClients } = createRouter(settings.val);
+  const port = await router.start();
+  output.out(JSON.stringify({ listening: port }));
+  await waitForSignal();
+  await router.stop();
+  await closeClients();
+  return exitCodes.ok;
+}
+
+/** A router with what closes its connections to other systems, after it stopped. */
+export interface CreatedRouter {
+  readonly router: Router;
+  readonly closeClients: () => Promise<void>;
+}
+
+/** Creates a router on the machine's clock and sockets. */
+export function createRouter(settings: Settings): CreatedRouter {
+  const { logging } = settings;
+  const log = new HttpLog(settings.log);
+  const vmList = new HttpVmList(settings.vms);
+  const endpointClient = new HttpEndpointClient(settings.endpoints);
+  const closers: (() => Promise<void>)[] = [log, vmList, endpointClient].map(
+    (client) => () => client.close(),
+  );
+  const router = new Router({
+    settings,
+    timers: new SystemTimers(),
+    logger: createLogger({ ...logging, fields: { vm: settings.router.vm } }),
+    metrics: createMetrics(),
+    log,
+    vmList,
+    endpointClient,
+    createPeerClient: (getAddress) => {
+      const { sharedKey, probeTimeoutMs } = settings.peers;
+      const client = new HttpPeerClient({ sharedKey, timeoutMs: probeTimeoutMs, getAddress });
+      closers.push(() => client.close());
+      return client;
+    },
+  });
+  const closeClients = async () => {
+    await Promise.all(closers.map((close) => close()));
+  };
+  return { router, closeClients };
+}
+
+function waitForSignal(): Promise<void> {
+  const signalled = createDeferred<void>();
+  (['SIGTERM', 'SIGINT'] as const).forEach((signal) => {
+    process.once(signal, () => signalled.resolve());
+  });
+  return signalled.promise;
+}
--- /dev/null
+++ b/src/commands/rulesCommand.ts
@@ -0,0 +1,194 @@
+/** `shallotrock rules check|diff|apply|show`. */
+import { readFileSync } from 'node:fs';
+import { userInfo } from 'node:os';
+import { createPatch } from 'diff';
+import type { RulesVersion } from '../types/ids.js';
+import { SystemTimers } from '../core/timers.js';
+import { getErrorMessage } from '../core/utilities.js';
+import { getRulesDigest, type RulesFold } from '../folds/rulesFold.js';
+import { RULES_STREAM } from '../router.js';
+import { checkRules } from '../rules/checker.js';
+import { formatDiagnostic } from '../rules/diagnostics.js';
+import { createEdit, getRulesLines, RulesSession } from '../rules/editor.js';
+import {
+  getRequired,
+  openLog,
+  parseCommandArgs,
+  reportUnavailable,
+  UsageError,
+  type Arguments,
+  type Command,
+  type Output,
+} from './command.js';
+import { exitCodes, type ExitCode } from './exitCodes.js';
+
+const help = `Usage: shallotrock rules ACTION [FILE] [options]
+
+Actions:
+  check FILE   check a rules file; prints FILE:LINE: error CODE: MESSAGE
+  show         print the accepted rules
+  diff FILE    print what applying the file would change
+  apply FILE   publish the file as an edit of the version it was made from
+
+Options:
+  --log URL      the log service (not for check)
+  --base N       for apply: the version that the edit was made from; default: the one in force
+  --author NAME  for apply: who publishes; default: the user's name
+  --version-only for show: print only the version
+
+Exit codes: 0 done; 1 errors in the file, or another edit won; 2 usage; 3 log out of reach
+`;
+
+/** The command. */
+export const rulesCommand: Command = {
+  name: 'rules',
+  summary: 'check, show, compare and publish the rules',
+  help,
+  run: runRules,
+};
+
+async function runRules(args: readonly string[], output: Output): Promise<ExitCode> {
+  const parsed = parseCommandArgs(args, {
+    log: { type: 'string' },
+    base: { type: 'string' },
+    author: { type: 'string' },
+    'version-only': { type: 'boolean' },
+  });
+  const [action, file] = parsed.positionals;
+  switch (action) {
+    case 'check':
+      return readChecked(file, output) ? exitCodes.ok : exitCodes.failed;
+    case 'show':
+      return withHead(parsed, output, async (head) => showRules(parsed, head, output));
+    case 'diff':
+      return withFile(parsed, file, output, async (head, lines) => showDiff(head, lines, output));
+    case 'apply':
+      return withFile(parsed, file, output, (head, lines, session) =>
+        applyRules({ parsed, head, lines, session, output }),
+      );
+    default:
+      throw new UsageError(`unknown action '${action ?? ''}'; expected check, show, diff or apply`);
+  }
+}
+
+/** Reads a rules file and prints what is wrong with it. */
+function readChecked(file: string | undefined, output: Output): string[] | undefined {
+  if (!file) {
+    throw new UsageError('FILE is missing');
+  }
+  const lines = getRulesLines(readText(file));
+  const checked = checkRules(lines);
+  if (checked.err) {
+    checked.val.forEach((problem) => output.error(formatDiagnostic(file, problem)));
+    return undefined;
+  }
+  return lines;
+}
+
+function readText(file: string): string {
+  try {
+    return readFileSync(file, 'utf8');
+  } catch (error) {
+    throw new UsageError(getErrorMessage(error));
+  }
+}
+
+async function withHead(
+  { values }: Arguments,
+  output: Output,
+  use: (head: RulesFold, session: RulesSession) => Promise<ExitCode>,
+): Promise<ExitCode> {
+  const log = openLog(values);
+  const session = new RulesSession({ log, timers: new SystemTimers(), stream: RULES_STREAM });
+  try {
+    const head = await session.getHead();
+    if (!head) {
+      return reportUnavailable(output, 'the rules could not be read from the log');
+    }
+    return await use(head, session);
+  } finally {
+    session.close();
+    await log.close();
+  }
+}
+
+async function withFile(
+  parsed: Arguments,
+  file: string | undefined,
+  output: Output,
+  use: (head: RulesFold, lines: string[], session: RulesSession) => Promise<ExitCode>,
+): Promise<ExitCode> {
+  const lines = readChecked(file, output);
+  if (!lines) {
+    return exitCodes.failed;
+  }
+  return withHead(parsed, output, (head, session) => use(head, lines, session));
+}
+
+function showRules({ values }: Arguments, head: RulesFold, output: Output): ExitCode {
+  output.out(values['version-only'] ? String(head.version) : head.lines.join('\n'));
+  return exitCodes.ok;
+}
+
+function showDiff(head: RulesFold, lines: readonly string[], output: Output): ExitCode {
+  const before = `${head.lines.join('\n')}\n`;
+  const after = `${lines.join('\n')}\n`;
+  output.out(createPatch('rules', before, after, `version ${head.version}`, 'file'));
+  return exitCodes.ok;
+}
+
+interface Application {
+  readonly parsed: Arguments;
+  readonly head: RulesFold;
+  readonly lines: readonly string[];
+  readonly session: RulesSession;
+  readonly output: Output;
+}
+
+async function applyRules(application: Application): Promise<ExitCode> {
+  const { parsed, head, lines, session, output } = application;
+  if (getRulesDigest(head.lines) === getRulesDigest(lines)) {
+    output.out(`already in force as version ${head.version}`);
+    return exitCodes.ok;
+  }
+  const base = getBase(parsed, head);
+  if (base !== head.version) {
+    output.error(`error 8003: version ${head.version} is in force, the edit was made from ${base}`);
+    reportWinner(head, output);
+    return exitCodes.failed;
+  }
+  const author = String(parsed.values.author ?? userInfo().username);
+  const edit = createEdit({ base, before: head.lines, after: lines, author });
+  const decided = await session.publish(edit);
+  if (!decided) {
+    return reportUnavailable(output, 'the fate of the edit is unknown; look with rules show');
+  }
+  if (!decided.accepted) {
+    output.error(`error 8003: another edit was accepted first, as version ${decided.version}`);
+    reportWinner(head, output);
+    return exitCodes.failed;
+  }
+  output.out(`accepted as version ${decided.version}`);
+  return exitCodes.ok;
+}
+
+function getBase({ values }: Arguments, head: RulesFold): RulesVersion {
+  if (values.base === undefined) {
+    return head.version;
+  }
+  const base = getRequired(values, 'base');
+  if (!/^\d{1,9}$/.test(base)) {
+    throw new UsageError(`--base: expected a version, found '${base}'`);
+  }
+  return Number(base) as RulesVersion;
+}
+
+function reportWinner(head: RulesFold, output: Output): void {
+  const winner = [...head.decided.values()].filter(({ accepted }) => accepted).at(-1);
+  if (winner) {
+    const { author, changes } = winner.entry;
+    const inserted = changes.flatMap(({ insert }) => insert);
+    output.error(`in force: version ${winner.version} by ${author}`);
+    inserted.slice(0, 10).forEach((line) => output.error(`  + ${line}`));
+  }
+}
--- /dev/null
+++ b/src/controllers/budgetAllotment.ts
@@ -0,0 +1,111 @@
+/**
+ * What this process may spend of one budget. Tokens enter only by what the log shows as granted to
+ * this incarnation, or by a transfer that a peer gave up first; they leave when spent, returned or sent.
+ */
+import type { BudgetId } from '../types/ids.js';
+import { SpendRate } from './spendRate.js';
+
+/** A request that waits for tokens. */
+export interface HoldWaiter {
+  readonly need: number;
+  readonly finish: (granted: boolean) => void;
+}
+
+/** An ask that the log has not decided yet. */
+export interface OpenAsk {
+  readonly ask: number;
+  readonly need: number;
+}
+
+/** How many of the largest recent holds the allotment keeps in reserve. */
+const RESERVED_HOLDS = 2;
+
+/** The tokens of one budget in this process. `free + held + spent` never exceeds what came in. */
+export class BudgetAllotment {
+  free = 0;
+
+  held = 0;
+
+  spent = 0;
+
+  sent = 0;
+
+  received = 0;
+
+  /** How much of the grants that the log shows was credited already. */
+  credited = 0;
+
+  lastAsk = 0;
+
+  openAsk: OpenAsk | undefined;
+
+  readonly waiters: HoldWaiter[] = [];
+
+  readonly rate = new SpendRate();
+
+  /** The largest recent hold, in tokens. */
+  largestHold = 0;
+
+  lastUsedAt = 0;
+
+  /** The totals as last reported to the log. */
+  reported = '';
+
+  /** The need that went unmet last; cleared when the account changes. */
+  starvedNeed = Number.POSITIVE_INFINITY;
+
+  constructor(readonly budget: BudgetId) {}
+
+  /** Takes a hold where the free tokens cover it and nobody waits before it. */
+  tryHold(need: number, nowMs: number): boolean {
+    this.lastUsedAt = nowMs;
+    this.largestHold = Math.max(need, this.largestHold);
+    if (this.waiters.length > 0 || this.free < need) {
+      return false;
+    }
+    this.take(need);
+    return true;
+  }
+
+  /** Ends a hold: the used part is spent, the rest is free again. Never charges above the hold. */
+  settle(need: number, used: number, nowMs: number): void {
+    const charged = Math.min(Math.max(0, used), need);
+    this.held -= need;
+    this.spent += charged;
+    this.free += need - charged;
+    this.rate.add(charged, nowMs);
+    this.serveWaiters();
+  }
+
+  /** Adds tokens and serves those who wait, in order. */
+  credit(tokens: number): void {
+    this.free += tokens;
+    this.serveWaiters();
+  }
+
+  /** Takes out free tokens, at most the amount, and returns how many. */
+  withdraw(tokens: number): number {
+    const taken = Math.max(0, Math.min(this.free, Math.floor(tokens)));
+    this.free -= taken;
+    return taken;
+  }
+
+  /** Returns the free tokens that the horizon calls for. */
+  getTarget(horizonMs: number, nowMs: number): number {
+    const spending = (this.rate.getTokensPerSecond(nowMs) * horizonMs) / 1_000;
+    return Math.ceil(spending + RESERVED_HOLDS * this.largestHold);
+  }
+
+  private serveWaiters(): void {
+    for (let [head] = this.waiters; head && head.need <= this.free; [head] = this.waiters) {
+      this.waiters.shift();
+      this.take(head.need);
+      head.finish(true);
+    }
+  }
+
+  private take(need: number): void {
+    this.free -= need;
+    this.held += need;
+  }
+}
--- /dev/null
+++ b/src/controllers/budgetController.ts
@@ -0,0 +1,136 @@
+/** Spreads the budgets over their streams and keeps each stream's funds as the rules state them. */
+import type { BudgetId, Incarnation, StreamName } from '../types/ids.js';
+import { brandId } from '../types/ids.js';
+import type { LogService } from '../types/platform.js';
+import type { TimerService, Unsubscribe } from '../core/timers.js';
+import { getHash32 } from '../core/utilities.js';
+import { BudgetShard, type Hold, type HoldFailure, type TransferPeers } from './budgetShard.js';
+import type { RulesInForce } from './rulesController.js';
+
+/** Options of the budget controller. Times are in milliseconds. */
+export interface BudgetControllerOptions {
+  readonly log: LogService;
+  readonly timers: TimerService;
+  readonly incarnation: Incarnation;
+  readonly shards: number;
+  readonly getRules: () => RulesInForce | undefined;
+  /** Returns this router's place in the rendezvous order of a stream. */
+  readonly getRank: (stream: string) => number;
+  readonly peers?: TransferPeers;
+  readonly holdWaitMs?: number;
+  readonly reportIntervalMs?: number;
+  readonly idleReturnMs?: number;
+  readonly flushIntervalMs?: number;
+  readonly pollMs?: number;
+  readonly onRetry?: (reason: string) => void;
+}
+
+const FUND_CHECK_INTERVAL_MS = 250;
+/** Each place in the rendezvous order waits this much longer before it appends funds. */
+const FUND_RANK_DELAY_MS = 1_000;
+const DEFAULT_HORIZON_MS = 30_000;
+
+/** Returns the stream of a budget shard. */
+export function getBudgetStream(shard: number): StreamName {
+  return brandId(`budgets-${shard}`);
+}
+
+/** Returns the shard that a budget belongs to. */
+export function getShardOfBudget(budget: BudgetId, shards: number): number {
+  return getHash32(budget) % shards;
+}
+
+/** The budgets of one process. */
+export class BudgetController {
+  readonly shards: readonly BudgetShard[];
+
+  private unsubscribe: Unsubscribe = () => {};
+
+  /** Since when each shard has lacked funds. */
+  private readonly lackingSince = new Map<number, number>();
+
+  constructor(private readonly options: BudgetControllerOptions) {
+    this.shards = Array.from(
+      { length: options.shards },
+      (_, shard) =>
+        new BudgetShard({
+          ...options,
+          stream: getBudgetStream(shard),
+          getHorizonMs: (budget) => this.getHorizonMs(budget),
+        }),
+    );
+  }
+
+  /** Starts following the streams. */
+  start(): void {
+    this.shards.forEach((shard) => shard.start());
+    this.unsubscribe = this.options.timers.subscribeEvery(FUND_CHECK_INTERVAL_MS, () =>
+      this.checkFunds(),
+    );
+  }
+
+  /** Stops at once. */
+  stop(): void {
+    this.unsubscribe();
+    this.shards.forEach((shard) => shard.stop());
+  }
+
+  /** Returns every free token; resolves when the log holds that. */
+  async close(): Promise<void> {
+    this.unsubscribe();
+    await Promise.all(this.shards.map((shard) => shard.close()));
+  }
+
+  /** Returns whether every stream's state is proven. */
+  isReady(): boolean {
+    return this.shards.every((shard) => shard.reader.isReady());
+  }
+
+  /** Holds tokens; see `BudgetShard.hold`. */
+  hold(budget: BudgetId, tokens: number): Promise<Hold | HoldFailure> {
+    return this.getShard(budget).hold(budget, tokens);
+  }
+
+  /** Gives up tokens to a peer; see `BudgetShard.sendTokens`. */
+  sendTokens(budget: BudgetId, tokens: number): number {
+    return this.getShard(budget).sendTokens(budget, tokens);
+  }
+
+  /** Appends the funds that the streams lack, where it is this router's turn. */
+  checkFunds(): void {
+    const rules = this.options.getRules();
+    if (!rules) {
+      return;
+    }
+    this.shards.forEach((shard, index) => {
+      if (shard.reader.isReady() && shard.writer.isIdle()) {
+        this.checkShardFunds(shard, index, rules);
+      }
+    });
+  }
+
+  private checkShardFunds(shard: BudgetShard, index: number, rules: RulesInForce): void {
+    const { timers, getRank, shards } = this.options;
+    const stated = rules.set.funds
+      .filter(({ budget }) => getShardOfBudget(budget, shards) === index)
+      .map(({ budget, name, tokens }) => ({ budget, fund: name, tokens }));
+    const missing = shard.getMissingFunds(stated, rules.version);
+    if (missing.length === 0) {
+      this.lackingSince.delete(index);
+      return;
+    }
+    const since = this.lackingSince.get(index) ?? timers.now();
+    this.lackingSince.set(index, since);
+    if (timers.now() - since >= getRank(getBudgetStream(index)) * FUND_RANK_DELAY_MS) {
+      shard.appendFunds(missing, rules.version);
+    }
+  }
+
+  private getShard(budget: BudgetId): BudgetShard {
+    return this.shards[getShardOfBudget(budget, this.shards.length)]!;
+  }
+
+  private getHorizonMs(budget: BudgetId): number {
+    return this.options.getRules()?.set.budgets.get(budget)?.horizonMs ?? DEFAULT_HORIZON_MS;
+  }
+}
--- /dev/null
+++ b/src/controllers/endpointController.ts
@@ -0,0 +1,262 @@
+/** Knows the endpoints of each service and gives out slots on them. */
+import { minimatch } from 'minimatch';
+import type { ServiceName, VmId } from '../types/ids.js';
+import type { EndpointInfo } from '../types/endpoints.js';
+import type { Vm } from '../types/platform.js';
+import type { EndpointRule } from '../types/rules.js';
+import type { TimerService } from '../core/timers.js';
+import { getOrCreate, getRendezvousOrder } from '../core/utilities.js';
+import { Endpoint } from '../routing/endpoint.js';
+import { PrefixAffinity, type Picker } from '../routing/picker.js';
+import type { SuspectController } from './suspectController.js';
+
+/** Options of the endpoint controller. */
+export interface EndpointControllerOptions {
+  readonly timers: TimerService;
+  readonly vm: VmId;
+  readonly suspects: SuspectController;
+  readonly picker?: Picker;
+  /** Most endpoints of one service that this router uses. Default 64. */
+  readonly subsetSize?: number;
+  /** Called when slots may have come free. */
+  readonly onCapacity?: () => void;
+}
+
+/** What a request needs of an endpoint. */
+export interface SlotRequest {
+  readonly service: ServiceName;
+  readonly prefix: string;
+  readonly digest: string;
+  /** Endpoints that this request tried already. */
+  readonly tried: ReadonlySet<VmId>;
+}
+
+/** How a call on a slot ended, as far as the endpoint's health goes. */
+export type SlotOutcome =
+  /** `latencyMs` is the time to the first token. */
+  | { readonly kind: 'success'; readonly latencyMs: number }
+  | { readonly kind: 'failure' }
+  /** The connection broke: the endpoint may have crashed on one of its requests. */
+  | { readonly kind: 'death' }
+  | { readonly kind: 'rejection' }
+  | { readonly kind: 'neutral' };
+
+/** A place on an endpoint for one call. */
+export interface Slot {
+  readonly endpoint: Endpoint;
+  /** Gives the place back; later calls do nothing. */
+  readonly release: (outcome: SlotOutcome) => void;
+}
+
+/** A sign of leaving from elsewhere than the vm list counts for so long. */
+const LEAVING_SIGN_MS = 600_000;
+
+/** The endpoints of one router. */
+export class EndpointController {
+  private readonly services = new Map<ServiceName, Map<VmId, Endpoint>>();
+
+  private vms: readonly Vm[] = [];
+
+  private rules: readonly EndpointRule[] = [];
+
+  private readonly leavingSigns = new Map<VmId, number>();
+
+  private readonly picker: Picker;
+
+  constructor(private readonly options: EndpointControllerOptions) {
+    this.picker = options.picker ?? new PrefixAffinity();
+  }
+
+  /** Takes over a new vm list. */
+  setVms(vms: readonly Vm[]): void {
+    this.vms = vms;
+    this.rebuild();
+  }
+
+  /** Takes over the endpoint rules. */
+  setRules(rules: readonly EndpointRule[]): void {
+    this.rules = rules;
+    this.rebuild();
+  }
+
+  /** Takes a sign that an endpoint is leaving, from itself or from a peer. */
+  markLeaving(vm: VmId): void {
+    this.leavingSigns.set(vm, this.options.timers.now());
+    this.services.forEach((endpoints) => {
+      const endpoint = endpoints.get(vm);
+      if (endpoint) {
+        endpoint.leaving = true;
+      }
+    });
+  }
+
+  /** Returns the endpoints that are known to be leaving by other signs than the vm list. */
+  getLeaving(): VmId[] {
+    const { timers } = this.options;
+    this.leavingSigns.forEach((at, vm) => {
+      if (timers.now() - at > LEAVING_SIGN_MS) {
+        this.leavingSigns.delete(vm);
+      }
+    });
+    return [...this.leavingSigns.keys()];
+  }
+
+  /** Returns whether the service has any endpoint that is not leaving. */
+  hasEndpoints(service: ServiceName): boolean {
+    return this.getUsable(service).length > 0;
+  }
+
+  /** Returns how many requests the service can run at a time. */
+  getCapacity(service: ServiceName): number {
+    return this.getUsable(service).reduce((sum, endpoint) => sum + endpoint.limit.get(), 0);
+  }
+
+  /** Returns the endpoints of a service. */
+  getEndpoints(service: ServiceName): Endpoint[] {
+    return [...(this.services.get(service)?.values() ?? [])];
+  }
+
+  /** Takes a slot on the endpoint that suits the request, or returns `undefined` for none. */
+  tryAcquire(request: SlotRequest): Slot | undefined {
+    const { timers, suspects } = this.options;
+    const nowMs = timers.now();
+    const isSuspect = suspects.isSuspect(request.digest);
+    const candidates = this.getEndpoints(request.service).filter(
+      (endpoint) =>
+        endpoint.hasRoom(nowMs) &&
+        !request.tried.has(endpoint.info.vm) &&
+        !(isSuspect && endpoint.suspects.size > 0),
+    );
+    const endpoint = this.picker.pick(candidates, request);
+    if (!endpoint || !endpoint.breaker.tryEnter(nowMs)) {
+      return undefined;
+    }
+    return this.createSlot(endpoint, request.digest, isSuspect);
+  }
+
+  private createSlot(endpoint: Endpoint, digest: string, isSuspect: boolean): Slot {
+    const { digests, suspects } = endpoint;
+    endpoint.inFlight += 1;
+    digests.set(digest, (digests.get(digest) ?? 0) + 1);
+    if (isSuspect) {
+      suspects.add(digest);
+    }
+    const deathsBefore = endpoint.deaths;
+    let open = true;
+    const release = (outcome: SlotOutcome) => {
+      if (open) {
+        open = false;
+        const isCounted = outcome.kind === 'death' && endpoint.deaths > deathsBefore;
+        this.recordOutcome(endpoint, isCounted ? { kind: 'neutral' } : outcome);
+        this.leave(endpoint, digest);
+        this.options.onCapacity?.();
+      }
+    };
+    return { endpoint, release };
+  }
+
+  private leave(endpoint: Endpoint, digest: string): void {
+    const remaining = (endpoint.digests.get(digest) ?? 1) - 1;
+    endpoint.inFlight -= 1;
+    if (remaining > 0) {
+      endpoint.digests.set(digest, remaining);
+    } else {
+      endpoint.digests.delete(digest);
+      endpoint.suspects.delete(digest);
+    }
+  }
+
+  private recordOutcome(endpoint: Endpoint, outcome: SlotOutcome): void {
+    const nowMs = this.options.timers.now();
+    switch (outcome.kind) {
+      case 'success':
+        endpoint.breaker.record(true, nowMs);
+        endpoint.limit.recordLatency(outcome.latencyMs, nowMs);
+        break;
+      case 'death':
+        this.recordDeath(endpoint, nowMs);
+        break;
+      case 'failure':
+        endpoint.breaker.record(false, nowMs);
+        break;
+      case 'rejection':
+        endpoint.limit.recordRejection(nowMs);
+        endpoint.breaker.forget();
+        break;
+      case 'neutral':
+        endpoint.breaker.forget();
+        break;
+      default:
+    }
+  }
+
+  /** Suspects every body that was in flight. */
+  private recordDeath(endpoint: Endpoint, nowMs: number): void {
+    endpoint.deaths += 1;
+    endpoint.breaker.record(false, nowMs);
+    this.options.suspects.recordDeath(endpoint.digests.keys());
+  }
+
+  private getUsable(service: ServiceName): Endpoint[] {
+    return this.getEndpoints(service).filter(({ leaving }) => !leaving);
+  }
+
+  private rebuild(): void {
+    const services = new Set(this.rules.map(({ service }) => service));
+    services.forEach((service) => this.rebuildService(service));
+    [...this.services.keys()]
+      .filter((service) => !services.has(service))
+      .forEach((service) => this.services.delete(service));
+    this.options.onCapacity?.();
+  }
+
+  private rebuildService(service: ServiceName): void {
+    const known = getOrCreate(this.services, service, () => new Map<VmId, Endpoint>());
+    const infos = this.getSubset(this.getInfos(service));
+    const listed = new Map(infos.map((info) => [info.vm, info]));
+    known.forEach((endpoint, vm) => {
+      if (listed.get(vm)?.url !== endpoint.info.url) {
+        known.delete(vm);
+      }
+    });
+    infos.forEach((info) => {
+      const endpoint = getOrCreate(known, info.vm, () => new Endpoint(info));
+      endpoint.leaving = this.isLeaving(info.vm);
+    });
+  }
+
+  private isLeaving(vm: VmId): boolean {
+    const listed = this.vms.find((candidate) => candidate.vm === vm);
+    return listed?.state !== 'live' || this.leavingSigns.has(vm);
+  }
+
+  private getInfos(service: ServiceName): EndpointInfo[] {
+    const rules = this.rules.filter((rule) => rule.service === service);
+    return this.vms.flatMap((vm) => {
+      const rule = rules.find(({ name }) => minimatch(vm.vm, name));
+      return rule ? [createInfo(vm, rule)] : [];
+    });
+  }
+
+  /** Each router uses a stable subset, so that connections don't grow with routers x endpoints. */
+  private getSubset(infos: EndpointInfo[]): EndpointInfo[] {
+    const { subsetSize = 64, vm } = this.options;
+    if (infos.length <= subsetSize) {
+      return infos;
+    }
+    const byVm = new Map(infos.map((info) => [info.vm as string, info]));
+    const order = getRendezvousOrder(vm, [...byVm.keys()]);
+    return order.slice(0, subsetSize).map((name) => byVm.get(name)!);
+  }
+}
+
+function createInfo(vm: Vm, rule: EndpointRule): EndpointInfo {
+  return {
+    vm: vm.vm,
+    url: `http://${vm.host}:${vm.port}`,
+    service: rule.service,
+    availabilityZone: vm.availabilityZone,
+    slots: rule.slots,
+    fencing: rule.fencing,
+  };
+}
--- /dev/null
+++ b/src/controllers/membershipController.ts
@@ -0,0 +1,126 @@
+/**
+ * Knows which routers are probably alive, from the vm list and probes of a few random peers. Serves
+ * speed only: a wrong view costs time, never a promise.
+ */
+import { minimatch } from 'minimatch';
+import type { AvailabilityZone, VmId } from '../types/ids.js';
+import type { Vm } from '../types/platform.js';
+import type { PeerClient, ProbeMessage } from '../types/peers.js';
+import type { TimerService, Unsubscribe } from '../core/timers.js';
+import { getRendezvousOrder } from '../core/utilities.js';
+
+/** Options of the membership controller. Times are in milliseconds. */
+export interface MembershipOptions {
+  readonly timers: TimerService;
+  readonly vm: VmId;
+  readonly availabilityZone: AvailabilityZone;
+  readonly vmPattern: string;
+  readonly client: PeerClient;
+  /** Returns what this router tells its peers. */
+  readonly createProbe: () => ProbeMessage;
+  /** Takes what a peer told. */
+  readonly onProbe: (message: ProbeMessage) => void;
+  /** A number in [0, 1); defaults to `Math.random`. */
+  readonly random?: () => number;
+  /** Default 1,000. */
+  readonly probeIntervalMs?: number;
+  /** Default 3. */
+  readonly probeCount?: number;
+}
+
+interface Member {
+  readonly vm: Vm;
+  failures: number;
+}
+
+/** A member counts as suspect after so many probes without an answer. */
+const SUSPECT_FAILURES = 2;
+
+/** The routers that this router knows. */
+export class MembershipController {
+  private members = new Map<VmId, Member>();
+
+  private unsubscribe: Unsubscribe = () => {};
+
+  constructor(private readonly options: MembershipOptions) {}
+
+  /** Starts probing. */
+  start(): void {
+    const { timers, probeIntervalMs = 1_000 } = this.options;
+    this.unsubscribe = timers.subscribeEvery(probeIntervalMs, () => {
+      this.probeSome().catch(() => {});
+    });
+  }
+
+  /** Stops probing. */
+  stop(): void {
+    this.unsubscribe();
+  }
+
+  /** Takes over a new vm list. */
+  setVms(vms: readonly Vm[]): void {
+    const { vm: self, vmPattern } = this.options;
+    const members = new Map<VmId, Member>();
+    vms
+      .filter(({ vm, state }) => vm !== self && state === 'live' && minimatch(vm, vmPattern))
+      .forEach((vm) => {
+        members.set(vm.vm, { vm, failures: this.members.get(vm.vm)?.failures ?? 0 });
+      });
+    this.members = members;
+  }
+
+  /** Returns where a peer listens, as `HOST:PORT`. */
+  getAddress(peer: VmId): string | undefined {
+    const vm = this.members.get(peer)?.vm;
+    return vm && `${vm.host}:${vm.port}`;
+  }
+
+  /** Returns the peers that answer, those of the own availability zone first. */
+  getPeers(): VmId[] {
+    const { availabilityZone } = this.options;
+    const alive = [...this.members.values()].filter(({ failures }) => failures < SUSPECT_FAILURES);
+    const isNear = ({ vm }: Member) => vm.availabilityZone === availabilityZone;
+    const near = alive.filter(isNear);
+    const far = alive.filter((member) => !isNear(member));
+    return [...near, ...far].map(({ vm }) => vm.vm);
+  }
+
+  /** Returns every listed peer, suspect or not. */
+  getListedPeers(): VmId[] {
+    return [...this.members.keys()];
+  }
+
+  /** Returns this router's place in the rendezvous order of a key, from 0. */
+  getRank(key: string): number {
+    const { vm } = this.options;
+    return getRendezvousOrder(key, [vm, ...this.getPeers()]).indexOf(vm);
+  }
+
+  /** Probes one peer at once. */
+  async probe(peer: VmId): Promise<void> {
+    const { client, createProbe, onProbe } = this.options;
+    const member = this.members.get(peer);
+    try {
+      const answer = await client.call(peer, 'peer.probe', createProbe());
+      if (member) {
+        member.failures = 0;
+      }
+      onProbe(answer);
+    } catch {
+      if (member) {
+        member.failures += 1;
+      }
+    }
+  }
+
+  private async probeSome(): Promise<void> {
+    const { probeCount = 3, random = Math.random } = this.options;
+    const candidates = this.getListedPeers();
+    const chosen: VmId[] = [];
+    while (chosen.length < probeCount && candidates.length > 0) {
+      const index = Math.floor(random() * candidates.length);
+      chosen.push(...candidates.splice(index, 1));
+    }
+    await Promise.all(chosen.map((peer) => this.probe(peer)));
+  }
+}
--- /dev/null
+++ b/src/controllers/rulesController.ts
@@ -0,0 +1,131 @@
+/**
+ * Keeps the newest rules that this process could learn in force: from the log, or from a peer that
+ * has read further. What is in force never goes back to an older version.
+ */
+import type { RulesVersion, StreamName } from '../types/ids.js';
+import type { EditEntry } from '../types/records.js';
+import type { LogService } from '../types/platform.js';
+import type { RulesAnswer } from '../types/peers.js';
+import type { RuleSet } from '../types/rules.js';
+import type { TimerService } from '../core/timers.js';
+import { RulesFold } from '../folds/rulesFold.js';
+import { StreamReader } from '../log/streamReader.js';
+import { checkRules } from '../rules/checker.js';
+import { formatDiagnostic } from '../rules/diagnostics.js';
+
+/** Options of the rules controller. */
+export interface RulesControllerOptions {
+  readonly log: LogService;
+  readonly timers: TimerService;
+  readonly stream: StreamName;
+  readonly pollMs?: number;
+  /** Called when other rules come into force. */
+  readonly onChange?: (rules: RulesInForce) => void;
+  /** Called where an accepted version does not pass this process's check. */
+  readonly onError?: (message: string) => void;
+}
+
+/** Rules together with what they were made from. */
+export interface RulesInForce {
+  readonly version: RulesVersion;
+  readonly lines: readonly string[];
+  readonly set: RuleSet;
+}
+
+/** The rules of one process. */
+export class RulesController {
+  readonly reader: StreamReader<RulesFold>;
+
+  private current: RulesInForce | undefined;
+
+  /** The newest version seen, whether or not it passed the check. */
+  private seen = -1;
+
+  constructor(private readonly options: RulesControllerOptions) {
+    const { log, timers, stream, pollMs } = options;
+    this.reader = new StreamReader<RulesFold>({
+      log,
+      timers,
+      stream,
+      pollMs,
+      createFold: () => new RulesFold(),
+    });
+    this.reader.onChange(() => this.onLogChange());
+  }
+
+  /** Starts following the log. */
+  start(): void {
+    this.reader.start();
+  }
+
+  /** Stops following the log. */
+  stop(): void {
+    this.reader.stop();
+  }
+
+  /** Returns the rules in force; none before the log's head or a peer's proof was seen. */
+  getInForce(): RulesInForce | undefined {
+    return this.current;
+  }
+
+  /** Returns the version in force, 0 for none. */
+  getVersion(): RulesVersion {
+    return this.current?.version ?? (0 as RulesVersion);
+  }
+
+  /** Answers a peer that has an older version. */
+  createAnswer(after: RulesVersion): RulesAnswer {
+    const edits = this.getEditsAfter(after);
+    if (edits) {
+      return { kind: 'edits', edits };
+    }
+    return { kind: 'text', version: this.getVersion(), lines: this.current?.lines ?? [] };
+  }
+
+  /** Takes over what a peer proved. */
+  learn(answer: RulesAnswer): void {
+    const { fold } = this.reader;
+    switch (answer.kind) {
+      case 'edits':
+        answer.edits.forEach((edit) => fold.apply(edit));
+        break;
+      case 'text':
+        if (answer.version > fold.version) {
+          fold.version = answer.version;
+          fold.lines = answer.lines;
+        }
+        break;
+      default:
+    }
+    this.adopt(fold.version, fold.lines);
+  }
+
+  private getEditsAfter(after: RulesVersion): EditEntry[] | undefined {
+    const accepted = [...this.reader.fold.decided.values()].filter(
+      (edit) => edit.accepted && edit.version > after && edit.version <= this.getVersion(),
+    );
+    const complete = accepted.length === this.getVersion() - after;
+    return complete ? accepted.map(({ entry }) => entry) : undefined;
+  }
+
+  private onLogChange(): void {
+    if (this.reader.isReady()) {
+      this.adopt(this.reader.fold.version, this.reader.fold.lines);
+    }
+  }
+
+  private adopt(version: RulesVersion, lines: readonly string[]): void {
+    if (version <= this.seen) {
+      return;
+    }
+    this.seen = version;
+    const checked = checkRules(lines);
+    if (checked.err) {
+      const messages = checked.val.map((problem) => formatDiagnostic(`rules@${version}`, problem));
+      this.options.onError?.(messages.join('\n'));
+      return;
+    }
+    this.current = { version, lines, set: checked.val };
+    this.options.onChange?.(this.current);
+  }
+}
--- /dev/null
+++ b/src/controllers/suspectController.ts
@@ -0,0 +1,58 @@
+/**
+ * Finds requests that crash endpoints. Every body in flight on an endpoint that dies becomes suspect;
+ * suspects run apart from each other from then on, so that the next death names the one at fault.
+ */
+import { LRUCache } from 'lru-cache';
+import type { Suspect } from '../types/peers.js';
+
+/** Deaths after which a body is refused. */
+export const POISON_DEATHS = 2;
+
+const REMEMBERED_SUSPECTS = 1_000;
+const GOSSIPED_SUSPECTS = 20;
+
+/** The suspects that this process knows, by body digest. */
+export class SuspectController {
+  private readonly deaths = new LRUCache<string, number>({ max: REMEMBERED_SUSPECTS });
+
+  /** Called for each new death with the suspects that it made, to tell peers at once. */
+  onDeath: (suspects: readonly Suspect[]) => void = () => {};
+
+  /** Takes the death of an endpoint with the bodies that were in flight on it. */
+  recordDeath(digests: Iterable<string>): void {
+    const all = [...digests];
+    // A known suspect among fresh bodies is the likelier cause: only it is counted.
+    const known = all.filter((digest) => this.deaths.has(digest));
+    const blamed = known.length > 0 ? known : all;
+    blamed.forEach((digest) => this.deaths.set(digest, (this.deaths.get(digest) ?? 0) + 1));
+    this.onDeath(blamed.map((digest) => ({ digest, deaths: this.deaths.get(digest)! })));
+  }
+
+  /** Takes a body's whole answer, which clears it. */
+  recordSuccess(digest: string): void {
+    this.deaths.delete(digest);
+  }
+
+  /** Returns whether the body has crashed so many endpoints that it must not run again. */
+  isPoison(digest: string): boolean {
+    return (this.deaths.get(digest) ?? 0) >= POISON_DEATHS;
+  }
+
+  /** Returns whether the body was on an endpoint that died. */
+  isSuspect(digest: string): boolean {
+    return this.deaths.has(digest);
+  }
+
+  /** Returns the latest suspects, for peers. */
+  getSuspects(): Suspect[] {
+    const latest = [...this.deaths.entries()].slice(0, GOSSIPED_SUSPECTS);
+    return latest.map(([digest, deaths]) => ({ digest, deaths }));
+  }
+
+  /** Takes over what a peer saw. */
+  merge(suspects: readonly Suspect[]): void {
+    suspects.forEach(({ digest, deaths }) => {
+      this.deaths.set(digest, Math.max(deaths, this.deaths.get(digest) ?? 0));
+    });
+  }
+}
--- /dev/null
+++ b/src/core/logging.ts
@@ -0,0 +1,34 @@
+/** Structured logs. */
+import winston from 'winston';
+
+/** A logger of the library; one per process. */
+export type Logger = winston.Logger;
+
+/** Options of a logger. */
+export interface LoggerOptions {
+  /** Default `info`. */
+  readonly level?: string;
+  /** One JSON object a line, or text for people. Default `json`. */
+  readonly format?: 'json' | 'pretty';
+  /** Fields on every line, such as the vm. */
+  readonly fields?: Readonly<Record<string, string>>;
+}
+
+/**
+ * Creates a logger that writes to standard error.
+ *
+ * @example
+ * createLogger({ fields: { vm: 'router-1' } }).info('ready', { port: 8080 });
+ */
+export function createLogger(options: LoggerOptions = {}): Logger {
+  const { level = 'info', format = 'json', fields = {} } = options;
+  const { combine, timestamp, json, simple } = winston.format;
+  return winston.createLogger({
+    level,
+    defaultMeta: fields,
+    format: combine(timestamp(), format === 'json' ? json() : simple()),
+    transports: [
+      new winston.transports.Console({ stderrLevels: ['error', 'warn', 'info', 'debug'] }),
+    ],
+  });
+}
--- /dev/null
+++ b/src/core/metrics.ts
@@ -0,0 +1,60 @@
+/** Counters and histograms of a router. */
+import { Counter, Gauge, Histogram, Registry } from 'prom-client';
+
+const SECONDS_BUCKETS = [0.001, 0.002, 0.005, 0.01, 0.02, 0.05, 0.1, 0.2, 0.5, 1, 2, 5, 10, 30];
+
+/** The metrics of one process. */
+export interface Metrics {
+  readonly registry: Registry;
+  /** Requests that ended, by service and result. */
+  readonly requests: Counter<'service' | 'result'>;
+  /** Refusals by the name of their code. */
+  readonly refusals: Counter<'reason'>;
+  /** Retries by what was tried again and why. */
+  readonly retries: Counter<'target' | 'reason'>;
+  /** Answers or parts of answers that belonged to another request. */
+  readonly crossings: Counter;
+  /** Bills that were stored after the answer was released. */
+  readonly lateBills: Counter;
+  readonly tokens: Counter<'kind'>;
+  readonly filterSeconds: Histogram<'filter'>;
+  readonly firstTokenSeconds: Histogram<'service'>;
+  readonly openRequests: Gauge;
+  readonly rulesVersion: Gauge;
+}
+
+/**
+ * Creates the metrics with a registry of their own.
+ *
+ * @example
+ * metrics.refusals.inc({ reason: 'budgetExhausted' });
+ */
+export function createMetrics(): Metrics {
+  const registry = new Registry();
+  const registers = [registry];
+  const counter = <Label extends string>(name: string, help: string, labelNames: Label[] = []) =>
+    new Counter({ name: `shallotrock_${name}`, help, labelNames, registers });
+  const gauge = (name: string, help: string) =>
+    new Gauge({ name: `shallotrock_${name}`, help, registers });
+  const histogram = <Label extends string>(name: string, help: string, labelNames: Label[]) =>
+    new Histogram({
+      name: `shallotrock_${name}`,
+      help,
+      labelNames,
+      buckets: SECONDS_BUCKETS,
+      registers,
+    });
+  return {
+    registry,
+    requests: counter('requests_total', 'Requests that ended.', ['service', 'result']),
+    refusals: counter('refusals_total', 'Refusals by reason.', ['reason']),
+    retries: counter('retries_total', 'Retries by target and reason.', ['target', 'reason']),
+    crossings: counter('crossed_answers_total', 'Answers that belonged to another request.'),
+    lateBills: counter('late_bills_total', 'Bills stored after the answer was released.'),
+    tokens: counter('tokens_total', 'Tokens billed.', ['kind']),
+    filterSeconds: histogram('filter_seconds', 'Time spent in each filter.', ['filter']),
+    firstTokenSeconds: histogram('first_token_seconds', 'Time to the first token.', ['service']),
+    openRequests: gauge('open_requests', 'Requests in flight.'),
+    rulesVersion: gauge('rules_version', 'Version of the rules in force.'),
+  };
+}
--- /dev/null
+++ b/src/core/timers.ts
@@ -0,0 +1,135 @@
+/**
+ * The timer service. Nothing else in the library reads a clock or sets a timer, so that tests drive
+ * time.
+ */
+import { createDeferred } from './utilities.js';
+
+/** Ends a subscription; calling it twice is harmless. */
+export type Unsubscribe = () => void;
+
+/** Gives the time and calls back after delays. All times are in milliseconds. */
+export abstract class TimerService {
+  /** Returns the time since the epoch, in milliseconds. */
+  abstract now(): number;
+
+  /** Calls the listener once after the delay. */
+  abstract subscribe(delayMs: number, listener: () => void): Unsubscribe;
+
+  /** Calls the listener again and again, until unsubscribed. */
+  subscribeEvery(intervalMs: number, listener: () => void): Unsubscribe {
+    let unsubscribe: Unsubscribe = () => {};
+    const arm = () => {
+      unsubscribe = this.subscribe(intervalMs, () => {
+        arm();
+        listener();
+      });
+    };
+    arm();
+    return () => unsubscribe();
+  }
+
+  /** Resolves after the delay, or at once when the signal is aborted. */
+  sleep(delayMs: number, signal?: AbortSignal): Promise<void> {
+    if (signal?.aborted) {
+      return Promise.resolve();
+    }
+    const { promise, resolve } = createDeferred<void>();
+    const unsubscribe = this.subscribe(delayMs, () => {
+      signal?.removeEventListener('abort', onAbort);
+      resolve();
+    });
+    function onAbort(): void {
+      unsubscribe();
+      resolve();
+    }
+    signal?.addEventListener('abort', onAbort, { once: true });
+    return promise;
+  }
+
+  /** Resolves with whether the promise was fulfilled within the time. */
+  async isDoneWithin(promise: Promise<unknown>, timeoutMs: number): Promise<boolean> {
+    const timeout = new AbortController();
+    const inTime = promise.then(() => true);
+    const late = this.sleep(timeoutMs, timeout.signal).then(() => false);
+    const result = await Promise.race([inTime, late]);
+    timeout.abort();
+    return result;
+  }
+}
+
+/** The machine's clock and timers. */
+export class SystemTimers extends TimerService {
+  override now(): number {
+    return Date.now();
+  }
+
+  override subscribe(delayMs: number, listener: () => void): Unsubscribe {
+    const handle = setTimeout(listener, delayMs);
+    return () => clearTimeout(handle);
+  }
+}
+
+interface VirtualTimer {
+  readonly at: number;
+  readonly order: number;
+  readonly listener: () => void;
+}
+
+/** A clock that moves only when told to. Used by tests, models and experiments. */
+export class VirtualTimers extends TimerService {
+  private time: number;
+
+  private order = 0;
+
+  private readonly timers = new Set<VirtualTimer>();
+
+  constructor(startMs = 1_000_000) {
+    super();
+    this.time = startMs;
+  }
+
+  override now(): number {
+    return this.time;
+  }
+
+  override subscribe(delayMs: number, listener: () => void): Unsubscribe {
+    this.order += 1;
+    const timer = { at: this.time + Math.max(0, delayMs), order: this.order, listener };
+    this.timers.add(timer);
+    return () => this.timers.delete(timer);
+  }
+
+  /** Moves time forward, running each due timer and everything that follows from it in order. */
+  async advance(durationMs: number): Promise<void> {
+    const end = this.time + durationMs;
+    await VirtualTimers.settle();
+    for (let next = this.getNext(end); next !== undefined; next = this.getNext(end)) {
+      this.time = next.at;
+      this.timers.delete(next);
+      next.listener();
+
+      await VirtualTimers.settle();
+    }
+    this.time = end;
+  }
+
+  /** Lets every promise callback that is ready run. */
+  static settle(): Promise<void> {
+    return new Promise((resolve) => {
+      setImmediate(resolve);
+    });
+  }
+
+  private getNext(end: number): VirtualTimer | undefined {
+    let best: VirtualTimer | undefined;
+    this.timers.forEach((timer) => {
+      if (timer.at > end) {
+        return;
+      }
+      if (!best || timer.at < best.at || (timer.at === best.at && timer.order < best.order)) {
+        best = timer;
+      }
+    });
+    return best;
+  }
+}
--- /dev/null
+++ b/src/filters/admit.ts
@@ -0,0 +1,125 @@
+/** Waits for a slot on an endpoint. */
+import { Err } from '../core/results.js';
+import type { ServiceName, VmId } from '../types/ids.js';
+import { Filter, type Exchange, type FilterResult } from '../types/exchange.js';
+import { createRefusal, type Refusal } from '../core/codes.js';
+import type { TimerService } from '../core/timers.js';
+import { getOrCreate } from '../core/utilities.js';
+import type { EndpointController, Slot } from '../controllers/endpointController.js';
+import { AdmissionQueue, type Admission, type QueuedRequest } from '../routing/admissionQueue.js';
+
+/** Options of the filter. */
+export interface AdmitOptions {
+  readonly timers: TimerService;
+  readonly endpoints: EndpointController;
+  readonly queueLength: number;
+}
+
+/** Characters of the prompt's start that decide on prefix affinity. */
+const PREFIX_CHARACTERS = 512;
+const NO_ENDPOINT_COME_BACK_MS = 2_000;
+
+interface SlotWait extends QueuedRequest {
+  readonly prefix: string;
+  readonly digest: string;
+  readonly service: ServiceName;
+  readonly tried: ReadonlySet<VmId>;
+}
+
+/** A slot with what the queue needs to take it back. */
+export interface AdmittedSlot {
+  readonly slot: Slot;
+  /** Ends the use of the slot in the queue's accounts; call after the slot's own release. */
+  readonly leave: () => void;
+}
+
+/** Gives slots to requests, in the order of their queue. */
+export class SlotQueues {
+  private readonly queues = new Map<ServiceName, AdmissionQueue<Slot>>();
+
+  constructor(private readonly options: AdmitOptions) {}
+
+  /** Waits for a slot on an endpoint that the request has not tried. */
+  async acquire(
+    exchange: Exchange,
+    tried: ReadonlySet<VmId>,
+  ): Promise<AdmittedSlot | { readonly refusal: Refusal }> {
+    const { timers, endpoints } = this.options;
+    const request = createSlotWait(exchange, tried);
+    const untried = endpoints
+      .getEndpoints(request.service)
+      .some(({ leaving, info }) => !leaving && !tried.has(info.vm));
+    if (!untried) {
+      return { refusal: createRefusal('noEndpoint', { retryAfterMs: NO_ENDPOINT_COME_BACK_MS }) };
+    }
+    const queue = this.getQueue(request.service);
+    const startedAt = timers.now();
+    const admission: Admission<Slot> = await queue.enter(request);
+    if (admission.kind === 'refused') {
+      return { refusal: admission.refusal };
+    }
+    const leave = () => queue.leave(request, timers.now() - startedAt);
+    return { slot: admission.slot, leave };
+  }
+
+  /** Starts what waits, after slots may have come free. */
+  dispatch(): void {
+    this.queues.forEach((queue) => queue.dispatch());
+  }
+
+  /** Returns how many requests wait. */
+  getLength(): number {
+    return [...this.queues.values()].reduce((sum, queue) => sum + queue.getLength(), 0);
+  }
+
+  private getQueue(service: ServiceName): AdmissionQueue<Slot> {
+    const { timers, endpoints, queueLength } = this.options;
+    return getOrCreate(
+      this.queues,
+      service,
+      () =>
+        new AdmissionQueue<Slot>({
+          timers,
+          length: queueLength,
+          tryAcquire: (request) => endpoints.tryAcquire(request as SlotWait),
+          getCapacity: () => endpoints.getCapacity(service),
+        }),
+    );
+  }
+}
+
+/** Refuses what has no endpoint at all before anything is set aside for it. */
+export class Admit extends Filter {
+  override readonly name = 'admit';
+
+  constructor(private readonly endpoints: EndpointController) {
+    super();
+  }
+
+  override async handle(
+    exchange: Exchange,
+    next: () => Promise<FilterResult>,
+  ): Promise<FilterResult> {
+    if (!this.endpoints.hasEndpoints(exchange.permission.service.name)) {
+      return Err(createRefusal('noEndpoint', { retryAfterMs: NO_ENDPOINT_COME_BACK_MS }));
+    }
+    return next();
+  }
+}
+
+function createSlotWait(exchange: Exchange, tried: ReadonlySet<VmId>): SlotWait {
+  const { permission, route, key, worstCase, digest, deadline, request } = exchange;
+  const prefix = route.kind === 'chat' ? JSON.stringify(route.chat.messages) : '';
+  return {
+    workspace: key.workspace,
+    priority: permission.allow.priority,
+    worth: permission.allow.worth,
+    tokens: worstCase,
+    deadline,
+    signal: request.signal,
+    prefix: prefix.slice(0, PREFIX_CHARACTERS),
+    digest,
+    service: permission.service.name,
+    tried,
+  };
+}
--- /dev/null
+++ b/src/filters/bill.ts
@@ -0,0 +1,70 @@
+/** Bills what the request used, once, before or after the last chunk goes out. */
+import type { BillEntry } from '../types/records.js';
+import { brandId } from '../types/ids.js';
+import { Filter, type Exchange, type FilterResult } from '../types/exchange.js';
+import type { Metrics } from '../core/metrics.js';
+import type { TimerService } from '../core/timers.js';
+
+/** Options of the filter. */
+export interface BillOptions {
+  readonly timers: TimerService;
+  readonly metrics: Metrics;
+  /** Appends a bill; resolves when the log holds it. */
+  readonly append: (bill: BillEntry) => Promise<void>;
+  readonly mode: 'before' | 'after';
+  /** How long the last chunk waits for its bill, in milliseconds. */
+  readonly waitMs: number;
+  /** Returns whether the log is known to be away, so that waiting is no use. */
+  readonly isLogAway: () => boolean;
+}
+
+/** Sets `storeBill` and calls it for requests that used tokens and were not billed by then. */
+export class Bill extends Filter {
+  override readonly name = 'bill';
+
+  constructor(private readonly options: BillOptions) {
+    super();
+  }
+
+  override async handle(
+    exchange: Exchange,
+    next: () => Promise<FilterResult>,
+  ): Promise<FilterResult> {
+    let billed = false;
+    exchange.storeBill = async (outcome) => {
+      if (!billed) {
+        billed = true;
+        await this.store(exchange, outcome);
+      }
+    };
+    try {
+      return await next();
+    } finally {
+      if (exchange.usage.promptTokens + exchange.usage.completionTokens > 0) {
+        await exchange.storeBill('partial');
+      }
+    }
+  }
+
+  private async store(exchange: Exchange, outcome: BillEntry['outcome']): Promise<void> {
+    const { timers, metrics, append, mode, waitMs, isLogAway } = this.options;
+    const { key, permission, usage } = exchange;
+    metrics.tokens.inc({ kind: 'prompt' }, usage.promptTokens);
+    metrics.tokens.inc({ kind: 'completion' }, usage.completionTokens);
+    const stored = append({
+      kind: 'bill',
+      request: brandId(`${key.workspace}/${exchange.id}`),
+      workspace: key.workspace,
+      budget: permission.budget.name,
+      ...usage,
+      outcome,
+    });
+    if (mode === 'after') {
+      return;
+    }
+    const inTime = !isLogAway() && (await timers.isDoneWithin(stored, waitMs));
+    if (!inTime) {
+      metrics.lateBills.inc();
+    }
+  }
+}
--- /dev/null
+++ b/src/filters/chain.ts
@@ -0,0 +1,42 @@
+/** Runs a request through the filters in order. */
+import { Ok } from '../core/results.js';
+import type { Exchange, Filter, FilterResult } from '../types/exchange.js';
+import type { Metrics } from '../core/metrics.js';
+import type { TimerService } from '../core/timers.js';
+
+/** Options of a chain. */
+export interface ChainOptions {
+  readonly filters: readonly Filter[];
+  readonly timers: TimerService;
+  readonly metrics: Metrics;
+}
+
+/**
+ * Runs the chain. Each filter's own time, without that of the filters after it, goes into the
+ * histogram.
+ *
+ * @example
+ * const result = await runChain({ filters, timers, metrics }, exchange);
+ * if (result.err) respond(result.val);
+ */
+export function runChain(options: ChainOptions, exchange: Exchange): Promise<FilterResult> {
+  const { filters, timers, metrics } = options;
+  const run = async (index: number): Promise<FilterResult> => {
+    const filter = filters[index];
+    if (!filter) {
+      return Ok.EMPTY;
+    }
+    const startedAt = timers.now();
+    let innerMs = 0;
+    const result = await filter.handle(exchange, async () => {
+      const innerStartedAt = timers.now();
+      const inner = await run(index + 1);
+      innerMs += timers.now() - innerStartedAt;
+      return inner;
+    });
+    const ownMs = timers.now() - startedAt - innerMs;
+    metrics.filterSeconds.observe({ filter: filter.name }, ownMs / 1_000);
+    return result;
+  };
+  return run(0);
+}
--- /dev/null
+++ b/src/filters/claim.ts
@@ -0,0 +1,67 @@
+/** Claims calls that may run at most once, and replays the answer of one that ran. */
+import { Err, Ok } from '../core/results.js';
+import type { ClaimKey } from '../types/ids.js';
+import { brandId } from '../types/ids.js';
+import { Filter, type Exchange, type FilterResult } from '../types/exchange.js';
+import { createRefusal, type Refusal } from '../core/codes.js';
+import type { TimerService } from '../core/timers.js';
+import type { ClaimController } from '../controllers/claimController.js';
+
+/** Options of the filter. */
+export interface ClaimOptions {
+  readonly timers: TimerService;
+  readonly claims: ClaimController;
+}
+
+/** Marks an answer as that of an earlier attempt. */
+export const REPLAY_HEADER = 'x-replayed';
+
+/** Returns the key that names a call within its workspace. */
+export function getClaimKey(exchange: Exchange): ClaimKey {
+  return brandId(`${exchange.key.workspace}/${exchange.id}`);
+}
+
+/** Sets `claim` where the call may run at most once. */
+export class ClaimCall extends Filter {
+  override readonly name = 'claim';
+
+  constructor(private readonly options: ClaimOptions) {
+    super();
+  }
+
+  override async handle(
+    exchange: Exchange,
+    next: () => Promise<FilterResult>,
+  ): Promise<FilterResult> {
+    if (!exchange.once) {
+      return next();
+    }
+    const { claims } = this.options;
+    const key = getClaimKey(exchange);
+    const claimed = await claims.claim(key, exchange.id, exchange.digest);
+    if (claimed.err) {
+      return claimed;
+    }
+    if (claimed.val.kind === 'replay') {
+      const { status, contentType, body } = claimed.val.outcome;
+      exchange.response.send(status, { 'content-type': contentType, [REPLAY_HEADER]: 'yes' }, body);
+      return Ok.EMPTY;
+    }
+    exchange.claim = { key };
+    const result = await this.runClaimed(exchange, next);
+    if (result.err && result.val.ran === 'not_run') {
+      claims.release(key, exchange.id);
+    }
+    return result;
+  }
+
+  /** A holder that was paused past the caller's deadline sends nothing. */
+  private runClaimed(exchange: Exchange, next: () => Promise<FilterResult>): Promise<FilterResult> {
+    const late = this.options.timers.now() >= exchange.deadline;
+    if (late || exchange.request.signal.aborted) {
+      const refusal: Refusal = createRefusal('deadlineUnmeetable');
+      return Promise.resolve(Err(refusal));
+    }
+    return next();
+  }
+}
--- /dev/null
+++ b/src/filters/holdBudget.ts
@@ -0,0 +1,44 @@
+/** Holds the worst case of the request before it runs and settles what it used afterwards. */
+import { Err } from '../core/results.js';
+import type { BudgetId } from '../types/ids.js';
+import { Filter, type Exchange, type FilterResult } from '../types/exchange.js';
+import { createRefusal } from '../core/codes.js';
+import type { Hold, HoldFailure } from '../controllers/budgetShard.js';
+
+/** Options of the filter. */
+export interface HoldBudgetOptions {
+  readonly hold: (budget: BudgetId, tokens: number) => Promise<Hold | HoldFailure>;
+}
+
+const EXHAUSTED_COME_BACK_MS = 30_000;
+const UNAVAILABLE_COME_BACK_MS = 5_000;
+
+/** Takes a hold and settles it. */
+export class HoldBudget extends Filter {
+  override readonly name = 'holdBudget';
+
+  constructor(private readonly options: HoldBudgetOptions) {
+    super();
+  }
+
+  override async handle(
+    exchange: Exchange,
+    next: () => Promise<FilterResult>,
+  ): Promise<FilterResult> {
+    const { permission, worstCase } = exchange;
+    const hold = await this.options.hold(permission.budget.name, worstCase);
+    if (hold === 'exhausted') {
+      const detail = `budget ${permission.budget.name} does not cover ${worstCase} tokens`;
+      const retryAfterMs = EXHAUSTED_COME_BACK_MS;
+      return Err(createRefusal('budgetExhausted', { detail, retryAfterMs }));
+    }
+    if (hold === 'unavailable') {
+      return Err(createRefusal('budgetUnavailable', { retryAfterMs: UNAVAILABLE_COME_BACK_MS }));
+    }
+    try {
+      return await next();
+    } finally {
+      hold.settle(exchange.usage.promptTokens + exchange.usage.completionTokens);
+    }
+  }
+}
--- /dev/null
+++ b/src/filters/matchRule.ts
@@ -0,0 +1,82 @@
+/** Finds the rule that lets the caller use the service, and what the call may cost. */
+import { minimatch } from 'minimatch';
+import { Err } from '../core/results.js';
+import { Filter, type ChatBody, type Exchange, type FilterResult } from '../types/exchange.js';
+import type { ServiceRule } from '../types/rules.js';
+import { createRefusal } from '../core/codes.js';
+import { getAllowKey } from '../rules/checker.js';
+
+/** Tokens that a chat template may add to each message. */
+const TEMPLATE_TOKENS_PER_MESSAGE = 16;
+
+const REPEATABLE_METHODS = new Set(['GET', 'HEAD', 'OPTIONS', 'PUT', 'DELETE']);
+/** Header in which a caller marks a call as non-idempotent: `no`. */
+export const IDEMPOTENT_HEADER = 'x-idempotent';
+
+/**
+ * Returns the most tokens that a chat can use. A tokenizer that works on bytes makes at most one
+ * token of each, so the length of the messages bounds the prompt.
+ *
+ * @example
+ * getWorstCase(chat); // bytes of the messages + 16 a message + the most tokens of the answer
+ */
+export function getWorstCase(chat: ChatBody): number {
+  const { model, stream, ...prompt } = chat.fields;
+  const bytes = Buffer.byteLength(JSON.stringify(prompt));
+  return bytes + TEMPLATE_TOKENS_PER_MESSAGE * chat.messages.length + chat.maxTokens;
+}
+
+/** Sets `permission`, `worstCase`, `once` and `repeatable`. */
+export class MatchRule extends Filter {
+  override readonly name = 'matchRule';
+
+  override async handle(
+    exchange: Exchange,
+    next: () => Promise<FilterResult>,
+  ): Promise<FilterResult> {
+    const service = getService(exchange);
+    if (!service) {
+      const { route } = exchange;
+      return Err(createRefusal(route.kind === 'chat' ? 'unknownModel' : 'unknownService'));
+    }
+    const { rules, key } = exchange;
+    const allow = rules.allows.get(getAllowKey(key.name, service.name));
+    const budget = allow && rules.budgets.get(allow.budget);
+    if (!allow || !budget) {
+      return Err(createRefusal('notAllowed'));
+    }
+    exchange.permission = { allow, budget, service };
+    setCosts(exchange, service);
+    return next();
+  }
+}
+
+function getService({ route, rules }: Exchange): ServiceRule | undefined {
+  switch (route.kind) {
+    case 'chat':
+      return rules.servicesByModel.get(route.chat.model);
+    default: {
+      const service = rules.services.get(route.service as never);
+      return service?.type === 'plain' ? service : undefined;
+    }
+  }
+}
+
+function setCosts(exchange: Exchange, service: ServiceRule): void {
+  const { route, request } = exchange;
+  switch (route.kind) {
+    case 'chat':
+      exchange.worstCase = getWorstCase(route.chat);
+      exchange.once = request.headers[IDEMPOTENT_HEADER] === 'no';
+      break;
+    default: {
+      const call = `${request.method}:${route.path}`;
+      exchange.worstCase = service.callTokens;
+      exchange.once =
+        request.headers[IDEMPOTENT_HEADER] === 'no' ||
+        service.once.some((pattern) => minimatch(call, pattern));
+      exchange.repeatable = REPEATABLE_METHODS.has(request.method);
+    }
+  }
+  exchange.repeatable &&= !exchange.once;
+}
--- /dev/null
+++ b/src/filters/relay.ts
@@ -0,0 +1,191 @@
+/** Sends the request to an endpoint, tries again where that is allowed, and relays the answer. */
+import { Err, Ok } from '../core/results.js';
+import type { VmId } from '../types/ids.js';
+import type { EndpointClient } from '../types/endpoints.js';
+import { Filter, type Exchange, type FilterResult } from '../types/exchange.js';
+import type { Refusal } from '../core/codes.js';
+import type { Metrics } from '../core/metrics.js';
+import type { TimerService } from '../core/timers.js';
+import type { ClaimController, KeptAnswer } from '../controllers/claimController.js';
+import type { EndpointController } from '../controllers/endpointController.js';
+import type { SuspectController } from '../controllers/suspectController.js';
+import type { RetryBudget } from '../routing/retryBudget.js';
+import type { Attempt, AttemptResult } from '../relay/attempt.js';
+import { runPlainCall } from '../relay/plainCall.js';
+import { runPlainChat } from '../relay/plainChat.js';
+import { StreamedChat } from '../relay/streamedChat.js';
+import type { SlotQueues } from './admit.js';
+
+/** Options of the filter. */
+export interface RelayOptions {
+  readonly timers: TimerService;
+  readonly metrics: Metrics;
+  readonly client: EndpointClient;
+  readonly endpoints: EndpointController;
+  readonly queues: SlotQueues;
+  readonly claims: ClaimController;
+  readonly suspects: SuspectController;
+  readonly retries: RetryBudget;
+}
+
+/** Most attempts of one request, the first included. */
+const ATTEMPTS_MAX = 3;
+
+/** One kind of call: how to run an attempt and how to end without an answer. */
+interface Call {
+  readonly run: (attempt: Attempt) => Promise<AttemptResult>;
+  readonly canRepeat: () => boolean;
+  readonly giveUp: (refusal: Refusal) => Promise<Refusal>;
+}
+
+/** The last filter. */
+export class Relay extends Filter {
+  override readonly name = 'relay';
+
+  constructor(private readonly options: RelayOptions) {
+    super();
+  }
+
+  override async handle(exchange: Exchange): Promise<FilterResult> {
+    const ender = this.createEnder(exchange);
+    const call = this.createCall(exchange);
+    try {
+      const refusal = await this.runAttempts(exchange, call, ender.signal);
+      return refusal ? Err(await call.giveUp(refusal)) : Ok.EMPTY;
+    } finally {
+      ender.stop();
+    }
+  }
+
+  /** Returns why the request got no whole answer, or `undefined` where it did. */
+  private async runAttempts(
+    exchange: Exchange,
+    call: Call,
+    signal: AbortSignal,
+  ): Promise<Refusal | undefined> {
+    const { metrics, retries, suspects } = this.options;
+    const tried = new Set<VmId>();
+    let last: Refusal | undefined;
+    let sent = false;
+    for (let number = 1; number <= ATTEMPTS_MAX; number += 1) {
+      // Attempts follow one another.
+
+      const result = await this.runAttempt(exchange, call, signal, tried, number, last);
+      if (result.kind === 'done') {
+        retries.recordSuccess();
+        suspects.recordSuccess(exchange.digest);
+        return undefined;
+      }
+      last = result.refusal;
+      sent ||= result.kind === 'failed' && result.sent;
+      if (result.kind === 'refused' || !this.mayRetry(exchange, call, result)) {
+        break;
+      }
+      metrics.retries.inc({ target: 'endpoint', reason: result.reason });
+    }
+    return last && keepTruth(last, sent);
+  }
+
+  private async runAttempt(
+    exchange: Exchange,
+    call: Call,
+    signal: AbortSignal,
+    tried: Set<VmId>,
+    number: number,
+    last: Refusal | undefined,
+  ): Promise<AttemptResult> {
+    const { timers, metrics, client, endpoints, queues } = this.options;
+    const admitted = await queues.acquire(exchange, tried);
+    if ('refusal' in admitted) {
+      return { kind: 'refused', refusal: last ?? admitted.refusal };
+    }
+    const { slot, leave } = admitted;
+    tried.add(slot.endpoint.info.vm);
+    const id = `${exchange.id}.${number}`;
+    const markLeaving = (vm: VmId) => endpoints.markLeaving(vm);
+    try {
+      return await call.run({ exchange, slot, client, timers, metrics, id, signal, markLeaving });
+    } finally {
+      slot.release({ kind: 'neutral' });
+      leave();
+    }
+  }
+
+  private mayRetry(
+    exchange: Exchange,
+    call: Call,
+    result: Extract<AttemptResult, { kind: 'failed' }>,
+  ): boolean {
+    const { timers, retries, suspects } = this.options;
+    if (result.sent && (!exchange.repeatable || !call.canRepeat())) {
+      return false;
+    }
+    if (suspects.isPoison(exchange.digest) || timers.now() >= exchange.deadline) {
+      return false;
+    }
+    return !exchange.request.signal.aborted && retries.tryTake();
+  }
+
+  private createCall(exchange: Exchange): Call {
+    const { route } = exchange;
+    const keep = async (refusal: Refusal) => refusal;
+    if (route.kind === 'plain') {
+      return {
+        run: (attempt) =>
+          runPlainCall(attempt, {
+            path: route.path,
+            keepOutcome: (outcome) => this.keepOutcome(exchange, outcome),
+          }),
+        canRepeat: () => true,
+        giveUp: keep,
+      };
+    }
+    if (!route.chat.stream) {
+      return {
+        run: (attempt) =>
+          runPlainChat(attempt, {
+            chat: route.chat,
+            keepOutcome: (outcome) => this.keepOutcome(exchange, outcome),
+          }),
+        canRepeat: () => true,
+        giveUp: keep,
+      };
+    }
+    const streamed = new StreamedChat({
+      exchange,
+      chat: route.chat,
+      keepOutcome: () => this.keepOutcome(exchange, undefined),
+    });
+    return {
+      run: (attempt) => streamed.run(attempt),
+      canRepeat: () => streamed.canContinue(),
+      giveUp: (refusal) => streamed.cut(refusal),
+    };
+  }
+
+  private async keepOutcome(exchange: Exchange, outcome: KeptAnswer | undefined): Promise<void> {
+    if (exchange.claim) {
+      await this.options.claims.complete(exchange.claim.key, exchange.id, outcome);
+    }
+  }
+
+  /** Creates a signal that ends with the caller's leaving or with the deadline. */
+  private createEnder(exchange: Exchange): { signal: AbortSignal; stop: () => void } {
+    const { timers } = this.options;
+    const controller = new AbortController();
+    const abort = () => controller.abort();
+    const { signal } = exchange.request;
+    signal.addEventListener('abort', abort, { once: true });
+    const cancel = timers.subscribe(exchange.deadline - timers.now(), abort);
+    const stop = () => {
+      cancel();
+      signal.removeEventListener('abort', abort);
+    };
+    return { signal: controller.signal, stop };
+  }
+}
+
+/** A request that any attempt may have run is not called "not run", however its last one ended. */
+function keepTruth(refusal: Refusal, sent: boolean): Refusal {
+  return sent && refusal.ran === 'not_run' ? { ...refusal, ran: 'unknown' } : refusal;
+}
--- /dev/null
+++ b/src/folds/billFold.ts
@@ -0,0 +1,42 @@
+/** Folds the billing stream: one bill a request, the first one in log order. Read by auditors only. */
+import type { Incarnation, Offset, RequestId } from '../types/ids.js';
+import type { BillEntry, Entry } from '../types/records.js';
+import { Fold, type EntryContext } from './fold.js';
+
+/** A bill and where it came from. */
+export interface Bill {
+  readonly entry: BillEntry;
+  readonly holder: Incarnation;
+  readonly offset: Offset;
+}
+
+/** The state of the billing stream. */
+export class BillFold extends Fold {
+  readonly bills = new Map<RequestId, Bill>();
+
+  /** Bills of requests that were billed before; they do not count. */
+  readonly repeats: Bill[] = [];
+
+  override apply(entry: Entry, context: EntryContext): void {
+    if (entry.kind !== 'bill') {
+      return;
+    }
+    const bill = { entry, holder: context.incarnation, offset: context.offset };
+    if (this.bills.has(entry.request)) {
+      this.repeats.push(bill);
+    } else {
+      this.bills.set(entry.request, bill);
+    }
+  }
+
+  override save(): unknown {
+    return [...this.bills.values()].map(({ entry, holder, offset }) => [entry, holder, offset]);
+  }
+
+  override load(saved: unknown): void {
+    this.bills.clear();
+    (saved as [BillEntry, Incarnation, Offset][]).forEach(([entry, holder, offset]) => {
+      this.bills.set(entry.request, { entry, holder, offset });
+    });
+  }
+}
--- /dev/null
+++ b/src/folds/claimFold.ts
@@ -0,0 +1,120 @@
+/** Folds a claim stream: the first claim of a key wins, and nothing frees it but its own holder. */
+import type { ClaimKey, Incarnation, RequestId } from '../types/ids.js';
+import type { ClaimEntry, Entry, OutcomeEntry } from '../types/records.js';
+import { Fold, type EntryContext } from './fold.js';
+
+/** How a claimed call ended. */
+export interface Outcome {
+  readonly status: number;
+  readonly contentType: string;
+  /** Whether `body` is the whole answer; otherwise it was too large to keep. */
+  readonly kept: boolean;
+  readonly body: Uint8Array;
+}
+
+/** A claimed call. Without an outcome nobody but the holder knows whether it ran. */
+export interface Claim {
+  readonly holder: Incarnation;
+  readonly request: RequestId;
+  /** SHA-256 of the body, so that a key reused with another body is seen. */
+  readonly digest: string;
+  outcome?: Outcome;
+}
+
+/** How many ended claims a stream remembers; the oldest are forgotten first. */
+export const REMEMBERED_CLAIMS = 100_000;
+
+/**
+ * The state of one claim stream.
+ *
+ * @example
+ * fold.apply({ kind: 'claim', key, request, digest }, context);
+ * fold.claims.get(key)?.holder; // the incarnation whose claim came first
+ */
+export class ClaimFold extends Fold {
+  readonly claims = new Map<ClaimKey, Claim>();
+
+  constructor(private readonly remembered = REMEMBERED_CLAIMS) {
+    super();
+  }
+
+  override apply(entry: Entry, context: EntryContext): void {
+    switch (entry.kind) {
+      case 'claim':
+        this.applyClaim(entry, context.incarnation);
+        break;
+      case 'release':
+        if (this.isOwn(entry.key, entry.request, context.incarnation)) {
+          this.claims.delete(entry.key);
+        }
+        break;
+      case 'outcome':
+        this.applyOutcome(entry, context.incarnation);
+        break;
+      default:
+    }
+  }
+
+  override save(): unknown {
+    return [...this.claims].map(([key, { holder, request, digest, outcome }]) => [
+      key,
+      holder,
+      request,
+      digest,
+      outcome ? [outcome.status, outcome.contentType, outcome.kept, outcome.body] : undefined,
+    ]);
+  }
+
+  override load(saved: unknown): void {
+    this.claims.clear();
+    (saved as SavedClaim[]).forEach(([key, holder, request, digest, outcome]) => {
+      const claim: Claim = { holder, request, digest };
+      if (outcome) {
+        const [status, contentType, kept, body] = outcome;
+        claim.outcome = { status, contentType, kept, body };
+      }
+      this.claims.set(key, claim);
+    });
+  }
+
+  private applyClaim(entry: ClaimEntry, holder: Incarnation): void {
+    if (this.claims.has(entry.key)) {
+      return;
+    }
+    this.claims.set(entry.key, { holder, request: entry.request, digest: entry.digest });
+  }
+
+  private applyOutcome(entry: OutcomeEntry, incarnation: Incarnation): void {
+    const claim = this.claims.get(entry.key);
+    if (!claim || claim.outcome || !this.isOwn(entry.key, entry.request, incarnation)) {
+      return;
+    }
+    const { status, contentType, kept, body } = entry;
+    claim.outcome = { status, contentType, kept, body };
+    this.forgetOldest();
+  }
+
+  private isOwn(key: ClaimKey, request: RequestId, incarnation: Incarnation): boolean {
+    const claim = this.claims.get(key);
+    return claim !== undefined && claim.holder === incarnation && claim.request === request;
+  }
+
+  /** Forgets ended claims above the limit. Claims without an outcome are never forgotten. */
+  private forgetOldest(): void {
+    if (this.claims.size <= this.remembered) {
+      return;
+    }
+    const oldest = [...this.claims].find(([, claim]) => claim.outcome !== undefined);
+    if (oldest) {
+      this.claims.delete(oldest[0]);
+    }
+  }
+}
+
+type SavedClaim = [
+  ClaimKey,
+  Incarnation,
+  RequestId,
+  string,
+  [number, string, boolean, Uint8Array] | null | undefined,
+];
--- /dev/null
+++ b/src/folds/rulesFold.ts
@@ -0,0 +1,84 @@
+/** Folds the rules stream: an edit is accepted iff it was made from the accepted version. */
+import type { RulesVersion } from '../types/ids.js';
+import type { EditEntry, Entry, LineChange } from '../types/records.js';
+import { getSha256 } from '../core/utilities.js';
+import { Fold } from './fold.js';
+
+/** How many decided edits are remembered, to tell an editor who won and peers what they miss. */
+export const REMEMBERED_EDITS = 1_000;
+
+/** What became of an edit. */
+export interface DecidedEdit {
+  readonly entry: EditEntry;
+  readonly accepted: boolean;
+  /** The accepted version after the decision. */
+  readonly version: RulesVersion;
+}
+
+/**
+ * Applies line changes to a text. Positions refer to the text before the edit.
+ *
+ * @example
+ * applyLineChanges(['a', 'b'], [{ at: 1, remove: 1, insert: ['c'] }]); // ['a', 'c']
+ */
+export function applyLineChanges(
+  lines: readonly string[],
+  changes: readonly LineChange[],
+): string[] {
+  const result: string[] = [];
+  let position = 0;
+  changes.forEach(({ at, remove, insert }) => {
+    result.push(...lines.slice(position, at), ...insert);
+    position = at + remove;
+  });
+  result.push(...lines.slice(position));
+  return result;
+}
+
+/** Returns the digest that an edit states of the text that it makes. */
+export function getRulesDigest(lines: readonly string[]): string {
+  return getSha256(lines.join('\n'));
+}
+
+/** The state of the rules stream. */
+export class RulesFold extends Fold {
+  version = 0 as RulesVersion;
+
+  lines: readonly string[] = [];
+
+  /** Decided edits by id, oldest first. */
+  readonly decided = new Map<string, DecidedEdit>();
+
+  override apply(entry: Entry): void {
+    if (entry.kind !== 'edit' || this.decided.has(entry.edit)) {
+      return;
+    }
+    const lines = entry.base === this.version ? applyLineChanges(this.lines, entry.changes) : [];
+    const accepted = entry.base === this.version && getRulesDigest(lines) === entry.digest;
+    if (accepted) {
+      this.lines = lines;
+      this.version = (this.version + 1) as RulesVersion;
+    }
+    this.decided.set(entry.edit, { entry, accepted, version: this.version });
+    this.forgetOldest();
+  }
+
+  override save(): unknown {
+    return [this.version, this.lines, [...this.decided.values()]];
+  }
+
+  override load(saved: unknown): void {
+    const [version, lines, decided] = saved as [RulesVersion, string[], DecidedEdit[]];
+    this.version = version;
+    this.lines = lines;
+    this.decided.clear();
+    decided.forEach((edit) => this.decided.set(edit.entry.edit, edit));
+  }
+
+  private forgetOldest(): void {
+    if (this.decided.size > REMEMBERED_EDITS) {
+      const [oldest] = this.decided.keys();
+      this.decided.delete(oldest!);
+    }
+  }
+}
--- /dev/null
+++ b/src/index.ts
@@ -0,0 +1,18 @@
+/** The library: what others may build on. */
+export { Router, createIncarnation, type RouterOptions } from './router.js';
+export { createRouter } from './commands/routerCommand.js';
+export { auditLog, type AuditReport, type LogDump } from './audit/auditLog.js';
+export { codes, createRefusal, type CodeName, type Refusal } from './core/codes.js';
+export { createLogger } from './core/logging.js';
+export { createMetrics, type Metrics } from './core/metrics.js';
+export { parseSettings, readSettings, type Settings } from './core/settings.js';
+export { SystemTimers, TimerService, VirtualTimers } from './core/timers.js';
+export { checkRules } from './rules/checker.js';
+export { RulesSession, createEdit } from './rules/editor.js';
+export { HttpEndpointClient } from './platform/httpEndpointClient.js';
+export { HttpLog } from './platform/httpLog.js';
+export { HttpVmList } from './platform/httpVmList.js';
+export { HttpPeerClient } from './peers/peerRpc.js';
+export * from './types/ids.js';
+export * from './types/platform.js';
+export * from './types/endpoints.js';
--- /dev/null
+++ b/src/log/codec.ts
@@ -0,0 +1,85 @@
+/** Encodes batches as MessagePack: an array per entry, in the field order of the table below. */
+import { decode, encode } from '@msgpack/msgpack';
+import type { Batch, Entry } from '../types/records.js';
+
+type EntryOfKind<Kind extends Entry['kind']> = Extract<Entry, { kind: Kind }>;
+
+type FieldTable = {
+  readonly [Kind in Entry['kind']]: {
+    readonly tag: number;
+    readonly fields: readonly Exclude<keyof EntryOfKind<Kind>, 'kind'>[];
+  };
+};
+
+/** The wire form of each entry. Tags and field orders never change; new fields go to the end. */
+const FIELDS: FieldTable = {
+  fund: { tag: 1, fields: ['budget', 'fund', 'tokens', 'version'] },
+  ask: { tag: 2, fields: ['budget', 'ask', 'need', 'want'] },
+  cancel: { tag: 3, fields: ['budget', 'ask'] },
+  return: { tag: 4, fields: ['budget', 'tokens'] },
+  report: { tag: 5, fields: ['budget', 'spent', 'sent', 'received', 'held'] },
+  claim: { tag: 6, fields: ['key', 'request', 'digest'] },
+  release: { tag: 7, fields: ['key', 'request'] },
+  outcome: { tag: 8, fields: ['key', 'request', 'status', 'contentType', 'kept', 'body'] },
+  bill: {
+    tag: 9,
+    fields: ['request', 'workspace', 'budget', 'promptTokens', 'completionTokens', 'outcome'],
+  },
+  edit: { tag: 10, fields: ['edit', 'base', 'author', 'changes', 'digest'] },
+  checkpoint: { tag: 11, fields: ['asOf', 'part', 'parts', 'data'] },
+};
+
+const KIND_OF_TAG = new Map<number, Entry['kind']>(
+  Object.entries(FIELDS).map(([kind, row]) => [row.tag, kind as Entry['kind']]),
+);
+
+/**
+ * Encodes a batch as one record.
+ *
+ * @example
+ * decodeBatch(encodeBatch(batch)); // equals batch
+ */
+export function encodeBatch(batch: Batch): Uint8Array {
+  const entries = batch.entries.map(toRow);
+  return encode([batch.incarnation, batch.sequence, entries]);
+}
+
+/** Decodes a record, or returns `undefined` where it is not a batch of a known form. */
+export function decodeBatch(data: Uint8Array): Batch | undefined {
+  const decoded = tryDecode(data);
+  if (!Array.isArray(decoded) || decoded.length !== 3 || !Array.isArray(decoded[2])) {
+    return undefined;
+  }
+  const entries = decoded[2].map(fromRow);
+  return { incarnation: decoded[0], sequence: decoded[1], entries: entries.filter(isKnown) };
+}
+
+function toRow(entry: Entry): unknown[] {
+  const { tag, fields } = FIELDS[entry.kind];
+  const values = entry as unknown as Record<string, unknown>;
+  return [tag, ...fields.map((field) => values[field])];
+}
+
+function fromRow(row: unknown[]): Entry | undefined {
+  const kind = KIND_OF_TAG.get(row[0] as number);
+  if (!kind) {
+    return undefined;
+  }
+  const entry: Record<string, unknown> = { kind };
+  FIELDS[kind].fields.forEach((field, index) => {
+    entry[field] = row[index + 1];
+  });
+  return entry as unknown as Entry;
+}
+
+function isKnown(entry: Entry | undefined): entry is Entry {
+  return entry !== undefined;
+}
+
+function tryDecode(data: Uint8Array): unknown {
+  try {
+    return decode(data);
+  } catch {
+    return undefined;
+  }
+}
--- /dev/null
+++ b/src/peers/peerRpc.ts
@@ -0,0 +1,117 @@
+/** JSON-RPC 2.0 between routers over HTTP, each message signed with the shared key. */
+import { createHmac, timingSafeEqual } from 'node:crypto';
+import {
+  JSONRPCClient,
+  JSONRPCServer,
+  type JSONRPCRequest,
+  type JSONRPCResponse,
+} from 'json-rpc-2.0';
+import { Agent, request } from 'undici';
+import type { VmId } from '../types/ids.js';
+import { PeerClient, type PeerMethod, type PeerMethods } from '../types/peers.js';
+
+/** Where peers post their messages. */
+export const PEER_PATH = '/internal/rpc';
+/** Carries the signature of a message. */
+export const SIGNATURE_HEADER = 'x-shallotrock-signature';
+
+/** Signs the body of a message. */
+export function getSignature(sharedKey: string, body: string): string {
+  return createHmac('sha256', sharedKey).update(body).digest('hex');
+}
+
+/** Returns whether a signature was made with the shared key. */
+export function isSignatureValid(sharedKey: string, body: string, signature: string): boolean {
+  const expected = Buffer.from(getSignature(sharedKey, body));
+  const given = Buffer.from(signature);
+  return expected.length === given.length && timingSafeEqual(expected, given);
+}
+
+/** Options of the peer client. */
+export interface HttpPeerClientOptions {
+  readonly sharedKey: string;
+  readonly getAddress: (peer: VmId) => string | undefined;
+  /** In milliseconds. Default 500. */
+  readonly timeoutMs?: number;
+}
+
+/** Calls peers over HTTP. A call that times out leaves its connection. */
+export class HttpPeerClient extends PeerClient {
+  private readonly agent = new Agent({ pipelining: 1, connections: 4 });
+
+  private nextId = 0;
+
+  constructor(private readonly options: HttpPeerClientOptions) {
+    super();
+  }
+
+  override async call<Method extends PeerMethod>(
+    peer: VmId,
+    method: Method,
+    params: PeerMethods[Method]['params'],
+  ): Promise<PeerMethods[Method]['result']> {
+    const client: JSONRPCClient = new JSONRPCClient(
+      async (message) => client.receive(await this.post(peer, message)),
+      () => {
+        this.nextId += 1;
+        return this.nextId;
+      },
+    );
+    return client.request(method, params);
+  }
+
+  /** Closes the connections. */
+  close(): Promise<void> {
+    return this.agent.destroy();
+  }
+
+  private async post(peer: VmId, message: JSONRPCRequest): Promise<JSONRPCResponse> {
+    const { sharedKey, getAddress, timeoutMs = 500 } = this.options;
+    const address = getAddress(peer);
+    if (!address) {
+      throw new Error(`no address is known for ${peer}`);
+    }
+    const body = JSON.stringify(message);
+    const response = await request(`http://${address}${PEER_PATH}`, {
+      method: 'POST',
+      body,
+      headers: {
+        'content-type': 'application/json',
+        [SIGNATURE_HEADER]: getSignature(sharedKey, body),
+      },
+      dispatcher: this.agent,
+      headersTimeout: timeoutMs,
+      bodyTimeout: timeoutMs,
+    });
+    return (await response.body.json()) as JSONRPCResponse;
+  }
+}
+
+/** What answers each method. */
+export type PeerHandlers = {
+  readonly [Method in PeerMethod]: (
+    params: PeerMethods[Method]['params'],
+  ) => PeerMethods[Method]['result'];
+};
+
+/** Answers signed messages of peers. */
+export class PeerServer {
+  private readonly server = new JSONRPCServer();
+
+  constructor(
+    private readonly sharedKey: string,
+    handlers: PeerHandlers,
+  ) {
+    (Object.keys(handlers) as PeerMethod[]).forEach((method) => {
+      this.server.addMethod(method, handlers[method] as (params: never) => unknown as never);
+    });
+  }
+
+  /** Returns the answer's text, or `undefined` for a message whose signature is wrong. */
+  async answer(body: string, signature: string): Promise<string | undefined> {
+    if (!isSignatureValid(this.sharedKey, body, signature)) {
+      return undefined;
+    }
+    return JSON.stringify(await this.server.receiveJSON(body));
+  }
+}
--- /dev/null
+++ b/src/platform/httpEndpointClient.ts
@@ -0,0 +1,100 @@
+/** Calls endpoints over HTTP. */
+import { Agent, errors, request } from 'undici';
+import { Err, Ok, type Result } from '../core/results.js';
+import {
+  EndpointClient,
+  EndpointError,
+  type EndpointAnswer,
+  type EndpointCall,
+  type EndpointFailure,
+} from '../types/endpoints.js';
+import { getErrorMessage } from '../core/utilities.js';
+
+/** Options of the client. Times are in milliseconds. */
+export interface HttpEndpointClientOptions {
+  /** Default 1,000. */
+  readonly connectTimeoutMs?: number;
+  /** Longest wait for the head of an answer. Default 15,000. */
+  readonly firstByteMs?: number;
+  /** Longest silence inside an answer. Default 5,000. */
+  readonly idleMs?: number;
+}
+
+const NOT_SENT_CODES = new Set(['ECONNREFUSED', 'EHOSTUNREACH', 'ENETUNREACH', 'ENOTFOUND']);
+
+/** A client whose connections are dropped once they went silent. */
+export class HttpEndpointClient extends EndpointClient {
+  private readonly kept: Agent;
+
+  private readonly fresh: Agent;
+
+  constructor(options: HttpEndpointClientOptions = {}) {
+    super();
+    const { connectTimeoutMs = 1_000, firstByteMs = 15_000, idleMs = 5_000 } = options;
+    const limits = {
+      connect: { timeout: connectTimeoutMs },
+      headersTimeout: firstByteMs,
+      bodyTimeout: idleMs,
+    };
+    this.kept = new Agent({ ...limits, pipelining: 1 });
+    this.fresh = new Agent({ ...limits, pipelining: 0 });
+  }
+
+  override async send(call: EndpointCall): Promise<Result<EndpointAnswer, EndpointFailure>> {
+    const controller = new AbortController();
+    const abort = () => controller.abort();
+    call.signal.addEventListener('abort', abort, { once: true });
+    try {
+      const response = await request(call.url, {
+        method: call.method as 'GET',
+        headers: call.headers,
+        body: call.body,
+        signal: controller.signal,
+        headersTimeout: call.firstByteMs,
+        dispatcher: call.fresh ? this.fresh : this.kept,
+      });
+      return Ok({
+        status: response.statusCode,
+        headers: response.headers as Record<string, string | undefined>,
+        body: readBody(response.body, () => call.signal.removeEventListener('abort', abort)),
+        abort,
+      });
+    } catch (error) {
+      call.signal.removeEventListener('abort', abort);
+      return Err(createFailure(error));
+    }
+  }
+
+  /** Closes the connections. */
+  async close(): Promise<void> {
+    await Promise.all([this.kept.destroy(), this.fresh.destroy()]);
+  }
+}
+
+async function* readBody(
+  body: AsyncIterable<Uint8Array>,
+  onEnd: () => void,
+): AsyncGenerator<Uint8Array> {
+  try {
+    yield* body;
+  } catch (error) {
+    throw new EndpointError(createFailure(error));
+  } finally {
+    onEnd();
+  }
+}
+
+function createFailure(error: unknown): EndpointFailure {
+  const detail = getErrorMessage(error);
+  const code = (error as { code?: string }).code ?? '';
+  if (error instanceof errors.ConnectTimeoutError || NOT_SENT_CODES.has(code)) {
+    return { kind: 'unreachable', detail };
+  }
+  if (error instanceof errors.HeadersTimeoutError || error instanceof errors.BodyTimeoutError) {
+    return { kind: 'silent', detail };
+  }
+  if ((error as Error).name === 'AbortError') {
+    return { kind: 'aborted', detail };
+  }
+  return { kind: 'broken', detail };
+}
--- /dev/null
+++ b/src/relay/chatCall.ts
@@ -0,0 +1,54 @@
+/** What streamed and plain chat answers share. */
+import type { EndpointAnswer, EndpointCall } from '../types/endpoints.js';
+import { createRefusal } from '../core/codes.js';
+import {
+  ATTEMPT_HEADER,
+  createFailed,
+  failAttempt,
+  type Attempt,
+  type AttemptResult,
+} from './attempt.js';
+import { readWhole } from './readWhole.js';
+
+/** Creates the call to an engine. */
+export function getChatCall(
+  attempt: Attempt,
+  fields: Readonly<Record<string, unknown>>,
+): EndpointCall {
+  const { exchange, slot, id, signal } = attempt;
+  return {
+    url: `${slot.endpoint.info.url}/v1/chat/completions`,
+    method: 'POST',
+    headers: {
+      'content-type': 'application/json',
+      [ATTEMPT_HEADER]: id,
+      'x-priority': String(exchange.permission.allow.priority),
+    },
+    body: Buffer.from(JSON.stringify(fields)),
+    fresh: exchange.once,
+    signal,
+  };
+}
+
+/** Handles an engine's error status; returns `undefined` for a success. */
+export async function passEndpointError(
+  attempt: Attempt,
+  answer: EndpointAnswer,
+): Promise<AttemptResult | undefined> {
+  if (answer.status < 400) {
+    return undefined;
+  }
+  if (answer.status >= 500) {
+    answer.abort();
+    attempt.slot.release({ kind: 'failure' });
+    const detail = `the endpoint answered ${answer.status}`;
+    return createFailed('serverError', true, 'endpointFailed', detail);
+  }
+  const body = await readWhole(answer);
+  if (body.err) {
+    return failAttempt(attempt, body.val);
+  }
+  attempt.slot.release({ kind: 'neutral' });
+  const detail = `the engine refused the request: ${Buffer.from(body.val).toString('utf8').slice(0, 500)}`;
+  return { kind: 'refused', refusal: createRefusal('invalidRequest', { detail }) };
+}
--- /dev/null
+++ b/src/relay/plainCall.ts
@@ -0,0 +1,95 @@
+/** Relays a call to a plain service. */
+import type { KeptAnswer } from '../controllers/claimController.js';
+import type { EndpointAnswer } from '../types/endpoints.js';
+import {
+  ATTEMPT_HEADER,
+  checkAnswerHead,
+  createFailed,
+  failAttempt,
+  type Attempt,
+  type AttemptResult,
+} from './attempt.js';
+import { readWhole } from './readWhole.js';
+
+const PASSED_HEADERS = ['content-type', 'accept', 'idempotency-key'] as const;
+const DEFAULT_CONTENT_TYPE = 'application/octet-stream';
+
+/** Where the call goes and what keeps its outcome. */
+export interface PlainCallOptions {
+  readonly path: string;
+  /** Keeps the outcome of a claimed call. */
+  readonly keepOutcome: (answer: KeptAnswer) => Promise<void>;
+}
+
+/** Runs one attempt. A call that may have been sent costs its price, whatever its answer. */
+export async function runPlainCall(
+  attempt: Attempt,
+  options: PlainCallOptions,
+): Promise<AttemptResult> {
+  const { exchange, slot, timers, client, id, signal } = attempt;
+  const { request } = exchange;
+  const startedAt = timers.now();
+  const sent = await client.send({
+    url: `${slot.endpoint.info.url}${options.path}${request.query}`,
+    method: request.method,
+    headers: { ...getPassedHeaders(request.headers), [ATTEMPT_HEADER]: id },
+    body: request.body.length > 0 ? request.body : undefined,
+    fresh: !exchange.repeatable,
+    signal,
+  });
+  if (sent.err) {
+    if (sent.val.kind !== 'unreachable') {
+      charge(attempt);
+    }
+    return failAttempt(attempt, sent.val);
+  }
+  const early = checkAnswerHead(attempt, sent.val);
+  if (early) {
+    return early;
+  }
+  charge(attempt);
+  return deliver(attempt, options, sent.val, startedAt);
+}
+
+async function deliver(
+  attempt: Attempt,
+  options: PlainCallOptions,
+  answer: EndpointAnswer,
+  startedAt: number,
+): Promise<AttemptResult> {
+  const { exchange, slot, timers } = attempt;
+  const body = await readWhole(answer);
+  if (body.err) {
+    return failAttempt(attempt, body.val);
+  }
+  if (answer.status >= 500 && exchange.repeatable) {
+    slot.release({ kind: 'failure' });
+    const detail = `the endpoint answered ${answer.status}`;
+    return createFailed('serverError', true, 'endpointFailed', detail);
+  }
+  slot.release({ kind: 'success', latencyMs: timers.now() - startedAt });
+  const contentType = answer.headers['content-type'] ?? DEFAULT_CONTENT_TYPE;
+  const { status } = answer;
+  options.keepOutcome({ status, contentType, body: body.val });
+  await exchange.storeBill('whole');
+  const headers = { 'content-type': contentType, 'x-request-id': exchange.id };
+  exchange.response.send(status, headers, body.val);
+  return { kind: 'done' };
+}
+
+function charge({ exchange }: Attempt): void {
+  exchange.usage = { promptTokens: exchange.permission.service.callTokens, completionTokens: 0 };
+}
+
+function getPassedHeaders(
+  headers: Readonly<Record<string, string | undefined>>,
+): Record<string, string> {
+  const passed: Record<string, string> = {};
+  PASSED_HEADERS.forEach((name) => {
+    const value = headers[name];
+    if (value !== undefined) {
+      passed[name] = value;
+    }
+  });
+  return passed;
+}
--- /dev/null
+++ b/src/relay/plainChat.ts
@@ -0,0 +1,89 @@
+/** Relays a chat answer that is sent in one piece. */
+import { z } from 'zod';
+import type { ChatBody } from '../types/exchange.js';
+import type { KeptAnswer } from '../controllers/claimController.js';
+import {
+  checkAnswerHead,
+  createFailed,
+  failAttempt,
+  type Attempt,
+  type AttemptResult,
+} from './attempt.js';
+import { getChatCall, passEndpointError } from './chatCall.js';
+import { readWhole } from './readWhole.js';
+
+const answerSchema = z.looseObject({
+  id: z.string(),
+  choices: z.array(z.unknown()).min(1),
+  usage: z.object({ prompt_tokens: z.int(), completion_tokens: z.int() }),
+});
+
+/** What to ask for and what keeps the outcome of a claimed call. */
+export interface PlainChatOptions {
+  readonly chat: ChatBody;
+  readonly keepOutcome: (answer: KeptAnswer) => Promise<void>;
+}
+
+/** Runs one attempt. */
+export async function runPlainChat(
+  attempt: Attempt,
+  options: PlainChatOptions,
+): Promise<AttemptResult> {
+  const { chat } = options;
+  const { exchange, slot, timers } = attempt;
+  const startedAt = timers.now();
+  const fields = { ...chat.fields, stream: false, max_tokens: chat.maxTokens };
+  const firstByteMs = Math.max(1, exchange.deadline - startedAt);
+  const sent = await attempt.client.send({ ...getChatCall(attempt, fields), firstByteMs });
+  if (sent.err) {
+    return failAttempt(attempt, sent.val);
+  }
+  const answer = sent.val;
+  const early = checkAnswerHead(attempt, answer) ?? (await passEndpointError(attempt, answer));
+  if (early) {
+    return early;
+  }
+  const body = await readWhole(answer);
+  if (body.err) {
+    return failAttempt(attempt, body.val);
+  }
+  const parsed = answerSchema.safeParse(tryParseJson(body.val));
+  if (!parsed.success) {
+    slot.release({ kind: 'failure' });
+    return createFailed(
+      'serverError',
+      true,
+      'endpointFailed',
+      'the answer is not a chat completion',
+    );
+  }
+  slot.release({ kind: 'success', latencyMs: timers.now() - startedAt });
+  await deliver(attempt, options, parsed.data);
+  return { kind: 'done' };
+}
+
+async function deliver(
+  attempt: Attempt,
+  options: PlainChatOptions,
+  data: z.output<typeof answerSchema>,
+): Promise<void> {
+  const { exchange } = attempt;
+  exchange.usage = {
+    promptTokens: data.usage.prompt_tokens,
+    completionTokens: data.usage.completion_tokens,
+  };
+  const body = JSON.stringify({ ...data, id: `chatcmpl-${exchange.id}` });
+  const contentType = 'application/json';
+  options.keepOutcome({ status: 200, contentType, body: Buffer.from(body) });
+  await exchange.storeBill('whole');
+  const headers = { 'content-type': contentType, 'x-request-id': exchange.id };
+  exchange.response.send(200, headers, body);
+}
+
+function tryParseJson(body: Uint8Array): unknown {
+  try {
+    return JSON.parse(Buffer.from(body).toString('utf8'));
+  } catch {
+    return undefined;
+  }
+}
--- /dev/null
+++ b/src/relay/streamedChat.ts
@@ -0,0 +1,228 @@
+/** Relays a streamed chat answer. */
+import { createParser } from 'eventsource-parser';
+import { EndpointError, type EndpointAnswer, type EndpointCall } from '../types/endpoints.js';
+import type { ChatBody, Exchange } from '../types/exchange.js';
+import { createErrorBody } from '../server/errorBody.js';
+import { createRefusal, type Refusal } from '../core/codes.js';
+import {
+  checkAnswerHead,
+  createFailed,
+  failAttempt,
+  type Attempt,
+  type AttemptResult,
+} from './attempt.js';
+import { getChatCall, passEndpointError } from './chatCall.js';
+import { ChatStream } from './chatStream.js';
+
+const SSE_HEADERS = {
+  'content-type': 'text/event-stream',
+  'cache-control': 'no-cache',
+};
+
+/** Options of a streamed answer. */
+export interface StreamedChatOptions {
+  readonly exchange: Exchange;
+  readonly chat: ChatBody;
+  /** Notes the end of a claimed call; streamed answers are not kept. */
+  readonly keepOutcome: () => Promise<void>;
+}
+
+/** A streamed answer over all its attempts. */
+export class StreamedChat {
+  private readonly stream: ChatStream;
+
+  private readonly created: number;
+
+  private readonly exchange: Exchange;
+
+  private readonly chat: ChatBody;
+
+  constructor(private readonly options: StreamedChatOptions) {
+    const { exchange, chat } = options;
+    this.exchange = exchange;
+    this.chat = chat;
+    this.created = Math.floor(exchange.arrivedAt / 1_000);
+    this.stream = new ChatStream({
+      id: `chatcmpl-${exchange.id}`,
+      promptBytes: exchange.request.body.length,
+    });
+  }
+
+  /** Returns whether another attempt could make the answer whole. */
+  canContinue(): boolean {
+    return this.stream.canContinue();
+  }
+
+  /** Runs one attempt. */
+  async run(attempt: Attempt): Promise<AttemptResult> {
+    this.stream.startAttempt();
+    const fields = { ...this.chat.fields, stream: true, stream_options: { include_usage: true } };
+    const call: EndpointCall = getChatCall(attempt, { ...fields, max_tokens: this.chat.maxTokens });
+    const sent = await attempt.client.send(call);
+    if (sent.err) {
+      return failAttempt(attempt, sent.val);
+    }
+    const answer = sent.val;
+    const early = checkAnswerHead(attempt, answer) ?? (await passEndpointError(attempt, answer));
+    return early ?? this.relay(attempt, answer);
+  }
+
+  /** Ends an answer that can't be made whole: the caller is told, in the stream if it has begun. */
+  async cut(refusal: Refusal): Promise<Refusal> {
+    const { response } = this.exchange;
+    if (!response.isStarted()) {
+      return refusal;
+    }
+    const { retryAfterMs } = refusal;
+    const cut = createRefusal('answerCut', { detail: refusal.detail, retryAfterMs });
+    await response.write(`data: ${JSON.stringify(createErrorBody(cut))}\n\n`);
+    response.end();
+    return cut;
+  }
+
+  private async relay(attempt: Attempt, answer: EndpointAnswer): Promise<AttemptResult> {
+    const startedAt = attempt.timers.now();
+    const events: string[] = [];
+    const parser = createParser({ onEvent: ({ data }) => events.push(data) });
+    const decoder = new TextDecoder();
+    let firstTokenMs: number | undefined;
+    try {
+      for await (const bytes of answer.body) {
+        parser.feed(decoder.decode(bytes, { stream: true }));
+        firstTokenMs ??= attempt.timers.now() - startedAt;
+        const result = await this.handleEvents(attempt, answer, events.splice(0));
+        if (result?.kind === 'done') {
+          attempt.slot.release({ kind: 'success', latencyMs: firstTokenMs });
+        }
+        if (result) {
+          return result;
+        }
+      }
+    } catch (error) {
+      return this.endBroken(attempt, error);
+    }
+    return this.endEarly(attempt);
+  }
+
+  private async handleEvents(
+    attempt: Attempt,
+    answer: EndpointAnswer,
+    events: readonly string[],
+  ): Promise<AttemptResult | undefined> {
+    let output = '';
+    for (let index = 0; index < events.length; index += 1) {
+      const event = this.stream.handle(events[index]!);
+      switch (event.kind) {
+        case 'forward':
+          output += `data: ${event.data}\n\n`;
+          break;
+        case 'end':
+          await this.forward(attempt, output);
+          await this.finish();
+          return { kind: 'done' };
+        case 'crossed':
+          attempt.metrics.crossings.inc();
+          await this.forward(attempt, output);
+          return this.drop(attempt, answer, 'crossed', 'an event belonged to another request');
+        case 'diverged':
+          return this.drop(attempt, answer, 'cut', 'a second run gave another answer');
+        case 'error':
+          await this.forward(attempt, output);
+          return this.drop(attempt, answer, 'serverError', event.detail);
+        default:
+      }
+    }
+    await this.forward(attempt, output);
+    return this.isOverHold()
+      ? this.drop(attempt, answer, 'cut', 'the answer passed its hold')
+      : undefined;
+  }
+
+  private async forward(attempt: Attempt, output: string): Promise<void> {
+    const { exchange } = this;
+    exchange.usage = this.stream.getUsage();
+    if (output === '') {
+      return;
+    }
+    if (!exchange.response.isStarted()) {
+      const elapsedMs = attempt.timers.now() - exchange.arrivedAt;
+      const service = exchange.permission.service.name;
+      attempt.metrics.firstTokenSeconds.observe({ service }, elapsedMs / 1_000);
+      exchange.response.open(200, { ...SSE_HEADERS, 'x-request-id': exchange.id });
+    }
+    await exchange.response.write(output);
+  }
+
+  /** Releases the last events, after the bill where billing goes first. */
+  private async finish(): Promise<void> {
+    const { exchange, chat, stream } = this;
+    const { response } = exchange;
+    exchange.usage = stream.getUsage();
+    this.options.keepOutcome();
+    await exchange.storeBill('whole');
+    if (!response.isStarted()) {
+      response.open(200, { ...SSE_HEADERS, 'x-request-id': exchange.id });
+    }
+    const usage = chat.includeUsage ? `data: ${this.createUsageEvent()}\n\n` : '';
+    await response.write(`data: ${stream.getFinish()}\n\n${usage}data: [DONE]\n\n`);
+    response.end();
+  }
+
+  private createUsageEvent(): string {
+    const { promptTokens, completionTokens } = this.stream.getUsage();
+    return JSON.stringify({
+      id: `chatcmpl-${this.exchange.id}`,
+      object: 'chat.completion.chunk',
+      created: this.created,
+      model: this.chat.model,
+      choices: [],
+      usage: {
+        prompt_tokens: promptTokens,
+        completion_tokens: completionTokens,
+        total_tokens: promptTokens + completionTokens,
+      },
+    });
+  }
+
+  private isOverHold(): boolean {
+    const { usage, worstCase } = this.exchange;
+    return usage.promptTokens + usage.completionTokens > worstCase;
+  }
+
+  private drop(
+    attempt: Attempt,
+    answer: EndpointAnswer,
+    reason: 'crossed' | 'cut' | 'serverError',
+    detail: string,
+  ): AttemptResult {
+    answer.abort();
+    attempt.slot.release({ kind: 'failure' });
+    return createFailed(
+      reason,
+      true,
+      this.stream.isStarted() ? 'answerCut' : 'endpointFailed',
+      detail,
+    );
+  }
+
+  private endBroken(attempt: Attempt, error: unknown): Promise<AttemptResult> | AttemptResult {
+    if (!(error instanceof EndpointError)) {
+      attempt.slot.release({ kind: 'neutral' });
+      throw error;
+    }
+    if (this.stream.isFinished()) {
+      return this.endEarly(attempt);
+    }
+    return failAttempt(attempt, error.failure);
+  }
+
+  /** The body ended without its last event: whole if the text had its end, else broken. */
+  private async endEarly(attempt: Attempt): Promise<AttemptResult> {
+    if (!this.stream.isFinished()) {
+      return failAttempt(attempt, { kind: 'broken', detail: 'the stream ended too early' });
+    }
+    await this.finish();
+    attempt.slot.release({ kind: 'success', latencyMs: 0 });
+    return { kind: 'done' };
+  }
+}
--- /dev/null
+++ b/src/router.ts
@@ -0,0 +1,419 @@
+/** A router: its controllers, its filter chain and its server, wired together. */
+import { randomBytes } from 'node:crypto';
+import type { Incarnation, RulesVersion, StreamName, VmId } from './types/ids.js';
+import { brandId } from './types/ids.js';
+import type { EndpointClient } from './types/endpoints.js';
+import type { Exchange, Filter, FilterResult } from './types/exchange.js';
+import type { PeerClient, ProbeMessage } from './types/peers.js';
+import type { LogService, VmList } from './types/platform.js';
+import { createRefusal, type Refusal } from './core/codes.js';
+import type { Logger } from './core/logging.js';
+import type { Metrics } from './core/metrics.js';
+import type { Settings } from './core/settings.js';
+import type { TimerService, Unsubscribe } from './core/timers.js';
+import { getSha256 } from './core/utilities.js';
+import { BudgetController } from './controllers/budgetController.js';
+import {
+  CheckpointController,
+  type CheckpointedStream,
+} from './controllers/checkpointController.js';
+import { ClaimController } from './controllers/claimController.js';
+import { EndpointController } from './controllers/endpointController.js';
+import { MembershipController } from './controllers/membershipController.js';
+import { RulesController, type RulesInForce } from './controllers/rulesController.js';
+import { SuspectController } from './controllers/suspectController.js';
+import { TransferController } from './controllers/transferController.js';
+import { Admit, SlotQueues } from './filters/admit.js';
+import { Authenticate } from './filters/authenticate.js';
+import { Bill } from './filters/bill.js';
+import { runChain } from './filters/chain.js';
+import { ClaimCall } from './filters/claim.js';
+import { Deduplicate } from './filters/deduplicate.js';
+import { HoldBudget } from './filters/holdBudget.js';
+import { Identify } from './filters/identify.js';
+import { MatchRule } from './filters/matchRule.js';
+import { Relay } from './filters/relay.js';
+import { Validate } from './filters/validate.js';
+import { StreamWriter } from './log/streamWriter.js';
+import { PeerServer, type PeerHandlers } from './peers/peerRpc.js';
+import { RetryBudget } from './routing/retryBudget.js';
+import { getAllowKey } from './rules/checker.js';
+import { CallerServer } from './server/callerServer.js';
+
+/** The stream of rule edits. */
+export const RULES_STREAM: StreamName = brandId('rules');
+/** The stream of claims. */
+export const CLAIMS_STREAM: StreamName = brandId('claims-0');
+/** The stream of bills, which routers only append to. */
+export const BILLS_STREAM: StreamName = brandId('bills');
+
+/** What a router is made of. */
+export interface RouterOptions {
+  readonly settings: Settings;
+  readonly timers: TimerService;
+  readonly logger: Logger;
+  readonly metrics: Metrics;
+  readonly log: LogService;
+  readonly vmList: VmList;
+  readonly endpointClient: EndpointClient;
+  /** Creates the client for peers; their addresses come from the router. */
+  readonly createPeerClient: (getAddress: (peer: VmId) => string | undefined) => PeerClient;
+  readonly incarnation?: Incarnation;
+}
+
+const LOG_AWAY_MS = 300;
+const NOT_READY_COME_BACK_MS = 2_000;
+
+/** Creates the name of one run of a process. */
+export function createIncarnation(vm: string): Incarnation {
+  return brandId(`${vm}-${randomBytes(4).toString('hex')}`);
+}
+
+/** One router process. */
+export class Router {
+  readonly rules: RulesController;
+
+  readonly budgets: BudgetController;
+
+  readonly claims: ClaimController;
+
+  readonly endpoints: EndpointController;
+
+  readonly membership: MembershipController;
+
+  readonly server: CallerServer;
+
+  private readonly bills: StreamWriter;
+
+  private readonly rulesWriter: StreamWriter;
+
+  private readonly suspects = new SuspectController();
+
+  private readonly transfers: TransferController;
+
+  private readonly checkpoints: CheckpointController;
+
+  private readonly queues: SlotQueues;
+
+  private readonly filters: readonly Filter[];
+
+  private readonly vm: VmId;
+
+  private readonly incarnation: Incarnation;
+
+  private readonly peerClient: PeerClient;
+
+  private vmPoll: Unsubscribe = () => {};
+
+  constructor(private readonly options: RouterOptions) {
+    const { settings, timers } = options;
+    this.vm = brandId(settings.router.vm);
+    this.incarnation = options.incarnation ?? createIncarnation(this.vm);
+    this.peerClient = options.createPeerClient((peer) => this.membership.getAddress(peer));
+    this.membership = this.createMembership();
+    this.transfers = new TransferController({
+      client: this.peerClient,
+      getPeers: () => this.membership.getPeers(),
+      sendTokens: (budget, tokens) => this.budgets.sendTokens(budget, tokens),
+    });
+    this.endpoints = new EndpointController({
+      timers,
+      vm: this.vm,
+      suspects: this.suspects,
+      onCapacity: () => this.queues?.dispatch(),
+    });
+    this.queues = new SlotQueues({
+      timers,
+      endpoints: this.endpoints,
+      queueLength: settings.limits.queueLength,
+    });
+    this.rules = this.createRules();
+    this.budgets = this.createBudgets();
+    this.claims = this.createClaims();
+    this.bills = this.createWriter(BILLS_STREAM);
+    this.rulesWriter = this.createWriter(RULES_STREAM);
+    this.checkpoints = this.createCheckpoints();
+    this.filters = this.createFilters();
+    this.server = this.createServer();
+    this.suspects.onDeath = () => this.probeEveryPeer();
+  }
+
+  /** Starts everything; resolves with the port. */
+  async start(): Promise<number> {
+    const { timers, settings } = this.options;
+    this.rules.start();
+    this.budgets.start();
+    this.claims.start();
+    this.membership.start();
+    this.checkpoints.start();
+    this.vmPoll = timers.subscribeEvery(settings.vms.pollMs, () => {
+      this.pollVms().catch(() => {});
+    });
+    this.pollVms().catch(() => {});
+    return this.server.listen();
+  }
+
+  /**
+   * Stops gracefully: takes no new requests, lets every one in flight end, returns what is left of
+   * the allotments, then closes. Waits at most `shutdown.drainMs` for the requests.
+   */
+  async stop(): Promise<void> {
+    const { timers, settings, logger } = this.options;
+    logger.info('draining', { open: this.server.getOpenRequests() });
+    const { drainMs } = settings.shutdown;
+    await timers.isDoneWithin(this.server.drain(), drainMs);
+    await timers.isDoneWithin(this.flush(), drainMs);
+    this.halt();
+    await this.server.close();
+    logger.info('stopped');
+  }
+
+  /** Stops at once, as a crash would, but leaves no timers. */
+  halt(): void {
+    this.vmPoll();
+    this.rules.stop();
+    this.budgets.stop();
+    this.claims.stop();
+    this.membership.stop();
+    this.checkpoints.stop();
+    this.bills.stop();
+    this.rulesWriter.stop();
+  }
+
+  /** Returns why this router can't serve, or `undefined`. */
+  getUnreadiness(): string | undefined {
+    if (!this.rules.getInForce()) {
+      return 'no proven rules';
+    }
+    if (!this.budgets.isReady() || !this.claims.reader.isReady()) {
+      return 'no proven state of the budgets or claims';
+    }
+    return undefined;
+  }
+
+  /** Runs one request through the chain. */
+  handle(exchange: Exchange): Promise<FilterResult> {
+    const { timers, metrics } = this.options;
+    return runChain({ filters: this.filters, timers, metrics }, exchange);
+  }
+
+  private async flush(): Promise<void> {
+    const { timers } = this.options;
+    await this.budgets.close();
+    const writers = [this.bills, this.claims.writer];
+    while (!writers.every((writer) => writer.isIdle())) {
+      await timers.sleep(10);
+    }
+  }
+
+  private async pollVms(): Promise<void> {
+    const listed = await this.options.vmList.list();
+    if (listed.ok) {
+      this.membership.setVms(listed.val);
+      this.endpoints.setVms(listed.val);
+    }
+  }
+
+  private createWriter(stream: StreamName): StreamWriter {
+    const { log, timers, settings } = this.options;
+    return new StreamWriter({
+      log,
+      timers,
+      stream,
+      incarnation: this.incarnation,
+      flushIntervalMs: settings.log.flushIntervalMs,
+      onRetry: this.createRetryCounter(stream),
+    });
+  }
+
+  private createRetryCounter(target: string): (reason: string) => void {
+    return (reason) => this.options.metrics.retries.inc({ target, reason });
+  }
+
+  private createMembership(): MembershipController {
+    const { settings, timers } = this.options;
+    const { vmPattern, probeIntervalMs, probeCount } = settings.peers;
+    return new MembershipController({
+      timers,
+      vm: this.vm,
+      availabilityZone: brandId(settings.router.availabilityZone),
+      vmPattern,
+      probeIntervalMs,
+      probeCount,
+      client: this.peerClient,
+      createProbe: () => this.createProbe(),
+      onProbe: (message) => this.onProbe(message),
+    });
+  }
+
+  private createRules(): RulesController {
+    const { log, timers, settings, logger, metrics } = this.options;
+    return new RulesController({
+      log,
+      timers,
+      stream: RULES_STREAM,
+      pollMs: settings.log.pollMs,
+      onChange: (rules) => {
+        logger.info('rules in force', { version: rules.version });
+        metrics.rulesVersion.set(rules.version);
+        this.endpoints.setRules(rules.set.endpoints);
+        this.budgets.checkFunds();
+      },
+      onError: (message) => logger.error('rules not in force', { message }),
+    });
+  }
+
+  private createBudgets(): BudgetController {
+    const { log, timers, settings } = this.options;
+    return new BudgetController({
+      log,
+      timers,
+      incarnation: this.incarnation,
+      getRules: () => this.rules.getInForce(),
+      getRank: (stream) => this.membership.getRank(stream),
+      peers: this.transfers,
+      flushIntervalMs: settings.log.flushIntervalMs,
+      pollMs: settings.log.pollMs,
+      onRetry: this.createRetryCounter('budgets'),
+      ...settings.budgets,
+    });
+  }
+
+  private createClaims(): ClaimController {
+    const { log, timers, settings } = this.options;
+    const { waitMs, comeBackMs, keptBytes } = settings.claims;
+    return new ClaimController({
+      log,
+      timers,
+      stream: CLAIMS_STREAM,
+      incarnation: this.incarnation,
+      claimWaitMs: waitMs,
+      comeBackMs,
+      keptBytes,
+      flushIntervalMs: settings.log.flushIntervalMs,
+      pollMs: settings.log.pollMs,
+      onRetry: this.createRetryCounter(CLAIMS_STREAM),
+    });
+  }
+
+  private createCheckpoints(): CheckpointController {
+    const { timers, settings } = this.options;
+    const { claims, rules, rulesWriter, budgets } = this;
+    const streams: CheckpointedStream[] = [
+      { stream: RULES_STREAM, reader: rules.reader, writer: rulesWriter },
+      { stream: CLAIMS_STREAM, reader: claims.reader, writer: claims.writer },
+      ...budgets.shards,
+    ];
+    return new CheckpointController({
+      timers,
+      retentionMs: settings.log.retentionMs,
+      getRank: (stream) => this.membership.getRank(stream),
+      streams,
+    });
+  }
+
+  private createFilters(): Filter[] {
+    const { timers, metrics, settings, endpointClient } = this.options;
+    const { endpoints, queues, claims, suspects } = this;
+    const retries = new RetryBudget({ share: settings.endpoints.retryPercent / 100 });
+    return [
+      new Identify({ timers, ...settings.limits }),
+      new Authenticate({ getRules: () => this.rules.getInForce() }),
+      new Validate(settings.limits),
+      new MatchRule(),
+      new Deduplicate({ suspects }),
+      new Admit(endpoints),
+      new HoldBudget({ hold: (budget, tokens) => this.budgets.hold(budget, tokens) }),
+      new Bill({
+        timers,
+        metrics,
+        append: (bill) => this.bills.append(bill),
+        ...settings.billing,
+        isLogAway: () => this.bills.getFailingMs() > LOG_AWAY_MS,
+      }),
+      new ClaimCall({ timers, claims }),
+      new Relay({
+        timers,
+        metrics,
+        client: endpointClient,
+        endpoints,
+        queues,
+        claims,
+        suspects,
+        retries,
+      }),
+    ];
+  }
+
+  private createServer(): CallerServer {
+    const { settings, timers, metrics, logger } = this.options;
+    const peerServer = new PeerServer(settings.peers.sharedKey, this.createPeerHandlers());
+    return new CallerServer({
+      settings,
+      timers,
+      metrics,
+      logger,
+      handlers: {
+        handleCaller: (exchange) => this.handle(exchange),
+        answerPeer: (body, signature) => peerServer.answer(body, signature),
+        listModels: (authorization) => this.listModels(authorization),
+        getUnreadiness: () => this.getUnreadiness(),
+      },
+    });
+  }
+
+  /** Returns what answers peers. */
+  createPeerHandlers(): PeerHandlers {
+    return {
+      'peer.probe': (message) => {
+        this.onProbe(message);
+        return this.createProbe();
+      },
+      'budget.transfer': (request) => this.transfers.answer(request),
+      'rules.get': ({ after }) => this.rules.createAnswer(after),
+    };
+  }
+
+  private createProbe(): ProbeMessage {
+    return {
+      vm: this.vm,
+      rulesVersion: this.rules.getVersion(),
+      leaving: this.endpoints.getLeaving(),
+      suspects: this.suspects.getSuspects(),
+    };
+  }
+
+  private onProbe(message: ProbeMessage): void {
+    this.suspects.merge(message.suspects);
+    const known = new Set(this.endpoints.getLeaving());
+    message.leaving.filter((vm) => !known.has(vm)).forEach((vm) => this.endpoints.markLeaving(vm));
+    if (message.rulesVersion > this.rules.getVersion()) {
+      this.learnRules(message.vm, this.rules.getVersion()).catch(() => {});
+    }
+  }
+
+  private async learnRules(peer: VmId, after: RulesVersion): Promise<void> {
+    this.rules.learn(await this.peerClient.call(peer, 'rules.get', { after }));
+  }
+
+  private probeEveryPeer(): void {
+    this.membership.getPeers().forEach((peer) => {
+      this.membership.probe(peer).catch(() => {});
+    });
+  }
+
+  private listModels(authorization: string | undefined): readonly string[] | Refusal {
+    const rules: RulesInForce | undefined = this.rules.getInForce();
+    if (!rules) {
+      return createRefusal('notReady', { retryAfterMs: NOT_READY_COME_BACK_MS });
+    }
+    const secret = authorization?.replace(/^Bearer /i, '') ?? '';
+    const key = rules.set.keysBySha256.get(getSha256(secret));
+    if (!key) {
+      return createRefusal('invalidKey');
+    }
+    return [...rules.set.servicesByModel]
+      .filter(([, service]) => rules.set.allows.has(getAllowKey(key.name, service.name)))
+      .map(([model]) => model);
+  }
+}
--- /dev/null
+++ b/src/routing/admissionQueue.ts
@@ -0,0 +1,228 @@
+/**
+ * The queue of one service: bounded, ordered by priority, then fairness between workspaces, then
+ * worth a token. What can't start before its deadline is refused at once, with a time to come back.
+ */
+import type { WorkspaceId } from '../types/ids.js';
+import type { TimerService, Unsubscribe } from '../core/timers.js';
+import { createRefusal, type Refusal } from '../core/codes.js';
+
+/** What the queue needs to know of a request. */
+export interface QueuedRequest {
+  readonly workspace: WorkspaceId;
+  /** 0 to 9, higher first. */
+  readonly priority: number;
+  readonly worth: number;
+  /** The most tokens that it may take. */
+  readonly tokens: number;
+  /** When the caller no longer wants an answer, in milliseconds of the timer service. */
+  readonly deadline: number;
+  readonly signal: AbortSignal;
+}
+
+/** Options of an admission queue. */
+export interface AdmissionQueueOptions<Slot> {
+  readonly timers: TimerService;
+  /** Takes a slot for a request, or returns `undefined` while there is none. */
+  readonly tryAcquire: (request: QueuedRequest) => Slot | undefined;
+  /** Returns how many requests the service runs at a time. */
+  readonly getCapacity: () => number;
+  /** Most requests that wait. Default 512. */
+  readonly length?: number;
+  /** Waiting this long raises a request by one priority, in milliseconds. Default 2,000. */
+  readonly agingMs?: number;
+  /** A number in [0, 1), to spread the times to come back. */
+  readonly random?: () => number;
+}
+
+interface Waiter<Slot> {
+  readonly request: QueuedRequest;
+  readonly since: number;
+  readonly order: number;
+  finish: (slot: Slot | undefined, refusal?: Refusal) => void;
+}
+
+/** The outcome of waiting: a slot or a refusal. */
+export type Admission<Slot> =
+  | { readonly kind: 'admitted'; readonly slot: Slot }
+  | { readonly kind: 'refused'; readonly refusal: Refusal };
+
+const SERVICE_TIME_SMOOTHING = 0.1;
+const FIRST_SERVICE_MS = 1_000;
+const COME_BACK_MIN_MS = 500;
+
+/** The queue. */
+export class AdmissionQueue<Slot> {
+  private readonly waiters = new Set<Waiter<Slot>>();
+
+  private readonly running = new Map<WorkspaceId, number>();
+
+  private order = 0;
+
+  private serviceMs = FIRST_SERVICE_MS;
+
+  constructor(private readonly options: AdmissionQueueOptions<Slot>) {}
+
+  /** Returns how many requests wait. */
+  getLength(): number {
+    return this.waiters.size;
+  }
+
+  /**
+   * Waits for a slot.
+   *
+   * @example
+   * const admission = await queue.enter(request);
+   * if (admission.kind === 'admitted') run(admission.slot);
+   */
+  enter(request: QueuedRequest): Promise<Admission<Slot>> {
+    const { timers, tryAcquire, length = 512 } = this.options;
+    if (this.waiters.size === 0) {
+      const slot = tryAcquire(request);
+      if (slot !== undefined) {
+        this.countRunning(request.workspace, 1);
+        return Promise.resolve({ kind: 'admitted', slot });
+      }
+    }
+    const waiter = this.createWaiter(request);
+    if (timers.now() + this.estimateWaitMs(waiter) > request.deadline) {
+      return Promise.resolve(this.refuse('deadlineUnmeetable'));
+    }
+    if (this.waiters.size >= length && !this.displaceWorse(waiter)) {
+      return Promise.resolve(this.refuse('queueFull'));
+    }
+    return this.wait(waiter);
+  }
+
+  /** Takes the end of a request that was admitted, and how long it ran. */
+  leave(request: QueuedRequest, durationMs: number): void {
+    this.countRunning(request.workspace, -1);
+    this.serviceMs += (durationMs - this.serviceMs) * SERVICE_TIME_SMOOTHING;
+    this.dispatch();
+  }
+
+  /** Starts waiting requests while there are slots. Called when capacity may have come free. */
+  dispatch(): void {
+    for (let best = this.getBest(); best; best = this.getBest()) {
+      const slot = this.options.tryAcquire(best.request);
+      if (slot === undefined) {
+        return;
+      }
+      this.countRunning(best.request.workspace, 1);
+      best.finish(slot);
+    }
+  }
+
+  /** Refuses everything that waits. */
+  refuseAll(refusal: Refusal): void {
+    [...this.waiters].forEach((waiter) => waiter.finish(undefined, refusal));
+  }
+
+  private createWaiter(request: QueuedRequest): Waiter<Slot> {
+    this.order += 1;
+    return { request, since: this.options.timers.now(), order: this.order, finish: () => {} };
+  }
+
+  private wait(waiter: Waiter<Slot>): Promise<Admission<Slot>> {
+    const { timers } = this.options;
+    const { request } = waiter;
+    return new Promise((resolve) => {
+      let cancelDeadline: Unsubscribe = () => {};
+      const onAbort = () => waiter.finish(undefined, createRefusal('deadlineUnmeetable'));
+
+      waiter.finish = (slot, refusal) => {
+        this.waiters.delete(waiter);
+        cancelDeadline();
+        request.signal.removeEventListener('abort', onAbort);
+        resolve(
+          slot === undefined
+            ? this.refuse('deadlineUnmeetable', refusal)
+            : { kind: 'admitted', slot },
+        );
+      };
+      cancelDeadline = timers.subscribe(request.deadline - timers.now(), () =>
+        waiter.finish(undefined),
+      );
+      request.signal.addEventListener('abort', onAbort, { once: true });
+      this.waiters.add(waiter);
+    });
+  }
+
+  private refuse(name: 'deadlineUnmeetable' | 'queueFull', refusal?: Refusal): Admission<Slot> {
+    const retryAfterMs = this.getComeBackMs();
+    return { kind: 'refused', refusal: refusal ?? createRefusal(name, { retryAfterMs }) };
+  }
+
+  /** Returns when the queue should have drained, spread so that callers don't return together. */
+  private getComeBackMs(): number {
+    const { random = Math.random } = this.options;
+    const drainMs = (this.waiters.size * this.serviceMs) / this.getCapacity();
+    return Math.round(COME_BACK_MIN_MS + drainMs * (0.5 + random()));
+  }
+
+  private getCapacity(): number {
+    return Math.max(1, this.options.getCapacity());
+  }
+
+  private estimateWaitMs(waiter: Waiter<Slot>): number {
+    let ahead = 0;
+    this.waiters.forEach((other) => {
+      if (this.compare(other, waiter) < 0) {
+        ahead += 1;
+      }
+    });
+    return (ahead * this.serviceMs) / this.getCapacity();
+  }
+
+  /** Makes room by refusing the worst waiter, where that is worse than the new one. */
+  private displaceWorse(waiter: Waiter<Slot>): boolean {
+    let worst: Waiter<Slot> = waiter;
+    this.waiters.forEach((other) => {
+      worst = this.compare(other, worst) > 0 ? other : worst;
+    });
+    if (worst === waiter) {
+      return false;
+    }
+    const retryAfterMs = this.getComeBackMs();
+    worst.finish(undefined, createRefusal('queueFull', { retryAfterMs }));
+    return true;
+  }
+
+  private getBest(): Waiter<Slot> | undefined {
+    let best: Waiter<Slot> | undefined;
+    this.waiters.forEach((waiter) => {
+      best = !best || this.compare(waiter, best) < 0 ? waiter : best;
+    });
+    return best;
+  }
+
+  private compare(a: Waiter<Slot>, b: Waiter<Slot>): number {
+    return (
+      this.getEffectivePriority(b) - this.getEffectivePriority(a) ||
+      this.getRunning(a) - this.getRunning(b) ||
+      getWorthPerToken(b.request) - getWorthPerToken(a.request) ||
+      a.order - b.order
+    );
+  }
+
+  private getEffectivePriority(waiter: Waiter<Slot>): number {
+    const { timers, agingMs = 2_000 } = this.options;
+    return waiter.request.priority + Math.floor((timers.now() - waiter.since) / agingMs);
+  }
+
+  private getRunning(waiter: Waiter<Slot>): number {
+    return this.running.get(waiter.request.workspace) ?? 0;
+  }
+
+  private countRunning(workspace: WorkspaceId, change: number): void {
+    const count = (this.running.get(workspace) ?? 0) + change;
+    if (count > 0) {
+      this.running.set(workspace, count);
+    } else {
+      this.running.delete(workspace);
+    }
+  }
+}
+
+function getWorthPerToken(request: QueuedRequest): number {
+  return request.worth / Math.max(1, request.tokens);
+}
--- /dev/null
+++ b/src/routing/concurrencyLimit.ts
@@ -0,0 +1,59 @@
+/** How many requests one endpoint gets at a time: grows while it is quick, halves when it is slow. */
+
+/** Options of a concurrency limit. */
+export interface ConcurrencyLimitOptions {
+  /** The most that the limit grows to. */
+  readonly max: number;
+  /** Where it starts. Default `max`. */
+  readonly initial?: number;
+  /** A first token later than this multiple of the best one counts as slow. Default 4. */
+  readonly slowFactor?: number;
+}
+
+const GROWTH = 1;
+const SHRINK_FACTOR = 0.7;
+/** The best latency is forgotten by this share a sample, so that it can rise again. */
+const BEST_DRIFT = 1.01;
+
+/** A limit by additive increase and multiplicative decrease on the time to the first token. */
+export class ConcurrencyLimit {
+  private limit: number;
+
+  private bestMs = Number.POSITIVE_INFINITY;
+
+  private shrunkAtMs = Number.NEGATIVE_INFINITY;
+
+  constructor(private readonly options: ConcurrencyLimitOptions) {
+    this.limit = options.initial ?? options.max;
+  }
+
+  /** Returns the limit, at least 1. */
+  get(): number {
+    return Math.max(1, Math.floor(this.limit));
+  }
+
+  /** Takes the time to a first token. */
+  recordLatency(latencyMs: number, nowMs: number): void {
+    const { slowFactor = 4, max } = this.options;
+    this.bestMs = Math.min(latencyMs, this.bestMs * BEST_DRIFT);
+    if (latencyMs > this.bestMs * slowFactor) {
+      this.shrink(nowMs);
+    } else {
+      this.limit = Math.min(max, this.limit + GROWTH / this.limit);
+    }
+  }
+
+  /** Takes a refusal for lack of room. */
+  recordRejection(nowMs: number): void {
+    this.shrink(nowMs);
+  }
+
+  /** Shrinks at most once per best latency, since samples of one queue come together. */
+  private shrink(nowMs: number): void {
+    if (nowMs - this.shrunkAtMs < Math.min(this.bestMs, 1_000)) {
+      return;
+    }
+    this.shrunkAtMs = nowMs;
+    this.limit = Math.max(1, this.limit * SHRINK_FACTOR);
+  }
+}
--- /dev/null
+++ b/src/routing/picker.ts
@@ -0,0 +1,73 @@
+/** Ways to choose among the endpoints that have room. bench/picker.ts compares them. */
+import { getHash32 } from '../core/utilities.js';
+import type { Endpoint } from './endpoint.js';
+
+/** What a choice may depend on. */
+export interface PickRequest {
+  /** The start of the prompt, which engines cache; empty for calls without one. */
+  readonly prefix: string;
+}
+
+/** Chooses an endpoint. */
+export abstract class Picker {
+  /** Returns one of the candidates, or `undefined` for none. */
+  abstract pick(candidates: readonly Endpoint[], request: PickRequest): Endpoint | undefined;
+}
+
+/** Takes one after another. */
+export class RoundRobin extends Picker {
+  private next = 0;
+
+  override pick(candidates: readonly Endpoint[]): Endpoint | undefined {
+    this.next += 1;
+    return candidates[this.next % Math.max(1, candidates.length)];
+  }
+}
+
+/** Takes the less loaded of two at random. */
+export class LeastOfTwo extends Picker {
+  constructor(private readonly random: () => number = Math.random) {
+    super();
+  }
+
+  override pick(candidates: readonly Endpoint[]): Endpoint | undefined {
+    const first = this.pickAny(candidates);
+    const second = this.pickAny(candidates);
+    if (!first || !second) {
+      return first;
+    }
+    return getLoad(second) < getLoad(first) ? second : first;
+  }
+
+  private pickAny(candidates: readonly Endpoint[]): Endpoint | undefined {
+    return candidates[Math.floor(this.random() * candidates.length)];
+  }
+}
+
+/** How far above the mean load a preferred endpoint may be. */
+const LOAD_BOUND = 1.25;
+
+/**
+ * Prefers the endpoint that probably has the prompt's prefix cached, by rendezvous over the prefix,
+ * and passes over those whose load is above the bound (consistent hashing with bounded loads).
+ */
+export class PrefixAffinity extends Picker {
+  override pick(candidates: readonly Endpoint[], request: PickRequest): Endpoint | undefined {
+    const inFlight = candidates.reduce((sum, endpoint) => sum + endpoint.inFlight, 0);
+    const bound = Math.ceil((LOAD_BOUND * (inFlight + 1)) / Math.max(1, candidates.length));
+    let best: Endpoint | undefined;
+    let bestScore = -1;
+    candidates.forEach((endpoint) => {
+      const score = getHash32(`${endpoint.info.vm}\n${request.prefix}`);
+      if (endpoint.inFlight < bound && score > bestScore) {
+        best = endpoint;
+        bestScore = score;
+      }
+    });
+    return best;
+  }
+}
+
+function getLoad(endpoint: Endpoint): number {
+  return endpoint.inFlight / endpoint.limit.get();
+}
--- /dev/null
+++ b/src/rules/editor.ts
@@ -0,0 +1,118 @@
+/** Makes and publishes edits of the rules. */
+import { randomUUID } from 'node:crypto';
+import { diffArrays } from 'diff';
+import type { RulesVersion, StreamName } from '../types/ids.js';
+import type { EditEntry, LineChange } from '../types/records.js';
+import type { LogService } from '../types/platform.js';
+import type { TimerService } from '../core/timers.js';
+import { brandId } from '../types/ids.js';
+import { RulesFold, getRulesDigest, type DecidedEdit } from '../folds/rulesFold.js';
+import { StreamReader } from '../log/streamReader.js';
+import { StreamWriter } from '../log/streamWriter.js';
+
+/** Splits the text of a rules file into lines, without an empty one at the end. */
+export function getRulesLines(text: string): string[] {
+  const lines = text.split(/\r?\n/);
+  while (lines.length > 0 && lines.at(-1) === '') {
+    lines.pop();
+  }
+  return lines;
+}
+
+/**
+ * Returns the line changes that lead from one text to another.
+ *
+ * @example
+ * getLineChanges(['a'], ['a', 'b']); // [{ at: 1, remove: 0, insert: ['b'] }]
+ */
+export function getLineChanges(before: readonly string[], after: readonly string[]): LineChange[] {
+  const changes: LineChange[] = [];
+  let position = 0;
+  let open: { at: number; remove: number; insert: string[] } | undefined;
+  diffArrays([...before], [...after]).forEach((part) => {
+    if (!part.added && !part.removed) {
+      open = undefined;
+      position += part.value.length;
+      return;
+    }
+    if (!open) {
+      open = { at: position, remove: 0, insert: [] };
+      changes.push(open);
+    }
+    if (part.added) {
+      open.insert.push(...part.value);
+    } else {
+      open.remove += part.value.length;
+      position += part.value.length;
+    }
+  });
+  return changes;
+}
+
+/** Creates an edit from a base version to a new text. */
+export function createEdit(options: {
+  readonly base: RulesVersion;
+  readonly before: readonly string[];
+  readonly after: readonly string[];
+  readonly author: string;
+}): EditEntry {
+  const { base, before, after, author } = options;
+  return {
+    kind: 'edit',
+    edit: randomUUID(),
+    base,
+    author,
+    changes: getLineChanges(before, after),
+    digest: getRulesDigest(after),
+  };
+}
+
+/** Options of an editor session with the rules stream. */
+export interface RulesSessionOptions {
+  readonly log: LogService;
+  readonly timers: TimerService;
+  readonly stream: StreamName;
+  /** How long to wait for the log, in milliseconds. Default 15,000. */
+  readonly timeoutMs?: number;
+}
+
+/** A short connection to the rules stream: reads the head and publishes edits. */
+export class RulesSession {
+  private readonly reader: StreamReader<RulesFold>;
+
+  private readonly timeoutMs: number;
+
+  constructor(private readonly options: RulesSessionOptions) {
+    this.timeoutMs = options.timeoutMs ?? 15_000;
+    this.reader = new StreamReader<RulesFold>({
+      log: options.log,
+      timers: options.timers,
+      stream: options.stream,
+      pollMs: 1_000,
+      createFold: () => new RulesFold(),
+    });
+    this.reader.start();
+  }
+
+  /** Returns the accepted state, or `undefined` where the log can't be read in time. */
+  async getHead(): Promise<RulesFold | undefined> {
+    const ready = await this.reader.waitFor(() => this.reader.isReady(), this.timeoutMs);
+    return ready ? this.reader.fold : undefined;
+  }
+
+  /** Publishes an edit and returns its fate, or `undefined` where that can't be learned in time. */
+  async publish(edit: EditEntry): Promise<DecidedEdit | undefined> {
+    const { log, timers, stream } = this.options;
+    const incarnation = `editor-${edit.edit}`;
+    const writer = new StreamWriter({ log, timers, stream, incarnation: brandId(incarnation) });
+    writer.append(edit);
+    await this.reader.waitFor(() => this.reader.fold.decided.has(edit.edit), this.timeoutMs);
+    writer.stop();
+    return this.reader.fold.decided.get(edit.edit);
+  }
+
+  /** Ends the session. */
+  close(): void {
+    this.reader.stop();
+  }
+}
--- /dev/null
+++ b/src/server/callerServer.ts
@@ -0,0 +1,284 @@
+/** The HTTP server of a router: callers, peers and operators. */
+import { createServer, type IncomingMessage, type Server, type ServerResponse } from 'node:http';
+import { createServer as createTlsServer } from 'node:https';
+import { readFileSync } from 'node:fs';
+import type { AddressInfo, Socket } from 'node:net';
+import { Err } from '../core/results.js';
+import { Exchange, type FilterResult } from '../types/exchange.js';
+import type { Settings } from '../core/settings.js';
+import type { Logger } from '../core/logging.js';
+import type { Metrics } from '../core/metrics.js';
+import type { TimerService } from '../core/timers.js';
+import { createRefusal, type Refusal } from '../core/codes.js';
+import { createDeferred, getErrorMessage } from '../core/utilities.js';
+import { PEER_PATH, SIGNATURE_HEADER } from '../peers/peerRpc.js';
+import { createErrorBody, getErrorHeaders, getErrorStatus } from './errorBody.js';
+import { NodeResponse } from './nodeResponse.js';
+import { readBody } from './readBody.js';
+
+/** What the server calls for each kind of request. */
+export interface ServerHandlers {
+  readonly handleCaller: (exchange: Exchange) => Promise<FilterResult>;
+  readonly answerPeer: (body: string, signature: string) => Promise<string | undefined>;
+  /** Returns the models that a key may use, or a refusal. */
+  readonly listModels: (authorization: string | undefined) => readonly string[] | Refusal;
+  /** Returns why the router is not ready, or `undefined` where it is. */
+  readonly getUnreadiness: () => string | undefined;
+}
+
+/** Options of the server. */
+export interface CallerServerOptions {
+  readonly settings: Settings;
+  readonly timers: TimerService;
+  readonly metrics: Metrics;
+  readonly logger: Logger;
+  readonly handlers: ServerHandlers;
+}
+
+const JSON_HEADERS = { 'content-type': 'application/json' };
+const TEXT_HEADERS = { 'content-type': 'text/plain; charset=utf-8' };
+const DRAINING_COME_BACK_MS = 1_000;
+const IDLE_CONNECTION_MS = 65_000;
+
+/** A server that owns its sockets. */
+export class CallerServer {
+  private readonly server: Server;
+
+  private readonly busy = new Set<ServerResponse>();
+
+  private readonly sockets = new Set<Socket>();
+
+  private draining = false;
+
+  private readonly drained = createDeferred<void>();
+
+  constructor(private readonly options: CallerServerOptions) {
+    this.server = this.createServer();
+    this.server.keepAliveTimeout = IDLE_CONNECTION_MS;
+    this.server.on('connection', (socket: Socket) => {
+      this.sockets.add(socket);
+      socket.on('close', () => this.sockets.delete(socket));
+    });
+  }
+
+  /** Starts listening; resolves with the port. */
+  async listen(): Promise<number> {
+    const { listen } = this.options.settings.router;
+    const colon = listen.lastIndexOf(':');
+    const listening = createDeferred<void>();
+    this.server.once('error', listening.reject);
+    this.server.listen(Number(listen.slice(colon + 1)), listen.slice(0, colon), () => {
+      listening.resolve();
+    });
+    await listening.promise;
+    return (this.server.address() as AddressInfo).port;
+  }
+
+  /** Returns how many requests are in flight. */
+  getOpenRequests(): number {
+    return this.busy.size;
+  }
+
+  /** Refuses new requests; resolves when the last one in flight has ended. */
+  drain(): Promise<void> {
+    this.draining = true;
+    this.server.closeIdleConnections();
+    this.checkDrained();
+    return this.drained.promise;
+  }
+
+  /** Closes every connection. */
+  close(): Promise<void> {
+    const closed = createDeferred<void>();
+    this.server.close(() => closed.resolve());
+    this.sockets.forEach((socket) => socket.destroy());
+    return closed.promise;
+  }
+
+  private createServer(): Server {
+    const { tls, limits } = this.options.settings;
+    const settings = {
+      maxHeaderSize: limits.headerBytes,
+      headersTimeout: limits.bodyTimeoutMs,
+      requestTimeout: 2 * limits.bodyTimeoutMs,
+    };
+    const listener = (message: IncomingMessage, response: ServerResponse) => {
+      this.handle(message, response).catch((error: unknown) => {
+        this.options.logger.error('request failed', { error: getErrorMessage(error) });
+        response.destroy();
+      });
+    };
+    if (!tls) {
+      return createServer(settings, listener);
+    }
+    const keys = { cert: readFileSync(tls.certFile), key: readFileSync(tls.keyFile) };
+    return createTlsServer({ ...settings, ...keys }, listener);
+  }
+
+  private async handle(message: IncomingMessage, response: ServerResponse): Promise<void> {
+    const [path = '/', query] = (message.url ?? '/').split('?');
+    const route = `${message.method} ${path}`;
+    switch (route) {
+      case 'GET /healthz':
+        send(response, 200, TEXT_HEADERS, 'ok\n');
+        return;
+      case 'GET /readyz':
+        this.answerReady(response);
+        return;
+      case 'GET /metrics':
+        await this.answerMetrics(response);
+        return;
+      case 'GET /v1/models':
+        this.answerModels(message, response);
+        return;
+      case `POST ${PEER_PATH}`:
+        await this.answerPeer(message, response);
+        return;
+      default:
+        await this.answerCaller(message, response, path, query === undefined ? '' : `?${query}`);
+    }
+  }
+
+  private answerReady(response: ServerResponse): void {
+    const reason = this.draining ? 'draining' : this.options.handlers.getUnreadiness();
+    send(response, reason === undefined ? 200 : 503, TEXT_HEADERS, `${reason ?? 'ready'}\n`);
+  }
+
+  private async answerMetrics(response: ServerResponse): Promise<void> {
+    const { registry, openRequests } = this.options.metrics;
+    openRequests.set(this.busy.size);
+    send(response, 200, { 'content-type': registry.contentType }, await registry.metrics());
+  }
+
+  private answerModels(message: IncomingMessage, response: ServerResponse): void {
+    const models = this.options.handlers.listModels(message.headers.authorization);
+    if ('name' in models) {
+      this.sendRefusal(new NodeResponse(response), models);
+      return;
+    }
+    const data = models.map((id) => ({ id, object: 'model', created: 0, owned_by: 'shallotrock' }));
+    send(response, 200, JSON_HEADERS, JSON.stringify({ object: 'list', data }));
+  }
+
+  private async answerPeer(message: IncomingMessage, response: ServerResponse): Promise<void> {
+    const body = await readBody(message, this.getBodyLimits());
+    const signature = String(message.headers[SIGNATURE_HEADER] ?? '');
+    const answer = body.ok
+      ? await this.options.handlers.answerPeer(Buffer.from(body.val).toString(), signature)
+      : undefined;
+    send(response, answer === undefined ? 403 : 200, JSON_HEADERS, answer ?? '{}');
+  }
+
+  private async answerCaller(
+    message: IncomingMessage,
+    response: ServerResponse,
+    path: string,
+    query: string,
+  ): Promise<void> {
+    const { timers, handlers } = this.options;
+    const arrivedAt = timers.now();
+    const caller = new NodeResponse(response);
+    if (this.draining) {
+      response.setHeader('connection', 'close');
+      const retryAfterMs = DRAINING_COME_BACK_MS;
+      this.finish(caller, Err(createRefusal('draining', { retryAfterMs })), message, arrivedAt);
+      return;
+    }
+    this.busy.add(response);
+    response.on('close', () => this.onEnd(response));
+    const gone = new AbortController();
+    response.on('close', () => gone.abort());
+    const body = await readBody(message, this.getBodyLimits());
+    if (body.err) {
+      response.setHeader('connection', 'close');
+      this.finish(caller, body, message, arrivedAt);
+      return;
+    }
+    const exchange = new Exchange(
+      {
+        method: message.method ?? 'GET',
+        path,
+        query,
+        headers: message.headers as Record<string, string | undefined>,
+        body: body.val,
+        signal: gone.signal,
+      },
+      caller,
+      arrivedAt,
+    );
+    const result = await this.tryHandle(handlers, exchange);
+    this.finish(caller, result, message, arrivedAt, exchange);
+  }
+
+  private async tryHandle(handlers: ServerHandlers, exchange: Exchange): Promise<FilterResult> {
+    try {
+      return await handlers.handleCaller(exchange);
+    } catch (error) {
+      const { logger } = this.options;
+      logger.error('request failed', { request: exchange.id, error: (error as Error).stack });
+      if (exchange.response.isStarted()) {
+        exchange.response.destroy();
+      }
+      return Err(createRefusal('internal'));
+    }
+  }
+
+  /** Sends a refusal that was not sent yet, and notes the result. */
+  private finish(
+    response: NodeResponse,
+    result: FilterResult,
+    message: IncomingMessage,
+    arrivedAt: number,
+    exchange?: Exchange,
+  ): void {
+    const { metrics, logger, timers } = this.options;
+    const refusal = result.err ? result.val : undefined;
+    const service = exchange?.permission?.service.name ?? '';
+    const name = refusal?.name ?? 'ok';
+    metrics.requests.inc({ service, result: name });
+    if (refusal) {
+      metrics.refusals.inc({ reason: refusal.name });
+      if (!response.isStarted()) {
+        this.sendRefusal(response, refusal);
+      }
+    }
+    logger.info('request ended', {
+      request: exchange?.id,
+      path: message.url,
+      result: name,
+      workspace: exchange?.key?.workspace,
+      durationMs: timers.now() - arrivedAt,
+    });
+  }
+
+  private sendRefusal(response: NodeResponse, refusal: Refusal): void {
+    const body = JSON.stringify(createErrorBody(refusal));
+    response.send(getErrorStatus(refusal), getErrorHeaders(refusal), body);
+  }
+
+  private getBodyLimits() {
+    const { bodyBytes, bodyTimeoutMs } = this.options.settings.limits;
+    return { timers: this.options.timers, bodyBytes, bodyTimeoutMs };
+  }
+
+  private onEnd(response: ServerResponse): void {
+    this.busy.delete(response);
+    this.checkDrained();
+  }
+
+  private checkDrained(): void {
+    if (this.draining && this.busy.size === 0) {
+      this.drained.resolve();
+    }
+  }
+}
+
+function send(
+  response: ServerResponse,
+  status: number,
+  headers: Readonly<Record<string, string>>,
+  body: string,
+): void {
+  response.writeHead(status, headers);
+  response.end(body);
+}
--- /dev/null
+++ b/src/server/errorBody.ts
@@ -0,0 +1,48 @@
+/** The body of a refusal, in the error shape of the OpenAI API. */
+import { codes, type CodeEntry, type RanState, type Refusal } from '../core/codes.js';
+
+/** What a caller reads of a refusal. */
+export interface ErrorBody {
+  readonly error: {
+    readonly message: string;
+    readonly type: string;
+    readonly param: string | null;
+    /** The code's name. */
+    readonly code: string;
+    /** The code's number in docs/CODES.md. */
+    readonly number: number;
+    readonly ran: RanState;
+    readonly retry_after_ms?: number;
+  };
+}
+
+/** Creates the body. */
+export function createErrorBody(refusal: Refusal): ErrorBody {
+  const row: CodeEntry = codes[refusal.name];
+  return {
+    error: {
+      message: refusal.detail,
+      type: row.type,
+      param: refusal.field ?? null,
+      code: refusal.name,
+      number: row.code,
+      ran: refusal.ran,
+      retry_after_ms: refusal.retryAfterMs,
+    },
+  };
+}
+
+/** Returns the status of a refusal. */
+export function getErrorStatus(refusal: Refusal): number {
+  return codes[refusal.name].status;
+}
+
+/** Returns the headers of a refusal; the seconds are rounded up, so that nobody returns too early. */
+export function getErrorHeaders(refusal: Refusal): Record<string, string> {
+  const headers: Record<string, string> = { 'content-type': 'application/json' };
+  if (refusal.retryAfterMs !== undefined) {
+    headers['retry-after'] = String(Math.ceil(refusal.retryAfterMs / 1_000));
+    headers['retry-after-ms'] = String(Math.ceil(refusal.retryAfterMs));
+  }
+  return headers;
+}
--- /dev/null
+++ b/src/server/readBody.ts
@@ -0,0 +1,42 @@
+/** Reads what a caller sends, within limits. */
+import type { IncomingMessage } from 'node:http';
+import { Err, Ok, type Result } from '../core/results.js';
+import { createRefusal, type Refusal } from '../core/codes.js';
+import type { TimerService, Unsubscribe } from '../core/timers.js';
+
+/** Limits of a body. */
+export interface BodyLimits {
+  readonly timers: TimerService;
+  readonly bodyBytes: number;
+  readonly bodyTimeoutMs: number;
+}
+
+/** Reads the body, or refuses one that is too large or too slow. */
+export function readBody(
+  message: IncomingMessage,
+  limits: BodyLimits,
+): Promise<Result<Uint8Array, Refusal>> {
+  const { timers, bodyBytes, bodyTimeoutMs } = limits;
+  return new Promise((resolve) => {
+    const parts: Uint8Array[] = [];
+    let length = 0;
+    let cancel: Unsubscribe = () => {};
+    const finish = (result: Result<Uint8Array, Refusal>) => {
+      cancel();
+      message.removeAllListeners('data');
+      message.resume();
+      resolve(result);
+    };
+    cancel = timers.subscribe(bodyTimeoutMs, () => finish(Err(createRefusal('bodyTimeout'))));
+    message.on('data', (part: Uint8Array) => {
+      parts.push(part);
+      length += part.length;
+      if (length > bodyBytes) {
+        const detail = `the body is over ${bodyBytes} bytes`;
+        finish(Err(createRefusal('bodyTooLarge', { detail })));
+      }
+    });
+    message.on('end', () => finish(Ok(Buffer.concat(parts))));
+    message.on('error', () => finish(Err(createRefusal('bodyTimeout'))));
+  });
+}
--- /dev/null
+++ b/src/types/peers.ts
@@ -0,0 +1,59 @@
+/** The messages between routers, carried by JSON-RPC 2.0. */
+import type { BudgetId, RulesVersion, VmId } from './ids.js';
+import type { EditEntry } from './records.js';
+
+/** How often a body was in flight on an endpoint that died. */
+export interface Suspect {
+  readonly digest: string;
+  readonly deaths: number;
+}
+
+/** What peers tell each other with every probe. */
+export interface ProbeMessage {
+  readonly vm: VmId;
+  readonly rulesVersion: RulesVersion;
+  /** Endpoints that said themselves that they are leaving. */
+  readonly leaving: readonly VmId[];
+  readonly suspects: readonly Suspect[];
+}
+
+/** Asks for tokens; a repeat of the id gets the same answer. */
+export interface TransferRequest {
+  readonly transfer: string;
+  readonly budget: BudgetId;
+  readonly tokens: number;
+}
+
+/** How many tokens the peer gave up. */
+export interface TransferAnswer {
+  readonly tokens: number;
+}
+
+/** Asks for what changed after a version. */
+export interface RulesRequest {
+  readonly after: RulesVersion;
+}
+
+/** The accepted edits after a version, or the whole text where they are not kept any more. */
+export type RulesAnswer =
+  | { readonly kind: 'edits'; readonly edits: readonly EditEntry[] }
+  | { readonly kind: 'text'; readonly version: RulesVersion; readonly lines: readonly string[] };
+
+/** The methods by name, each with its parameters and its result. */
+export interface PeerMethods {
+  'peer.probe': { params: ProbeMessage; result: ProbeMessage };
+  'budget.transfer': { params: TransferRequest; result: TransferAnswer };
+  'rules.get': { params: RulesRequest; result: RulesAnswer };
+}
+
+/** The name of a method. */
+export type PeerMethod = keyof PeerMethods;
+
+/** Calls methods of peers. Fails with a text where the peer is out of reach. */
+export abstract class PeerClient {
+  abstract call<Method extends PeerMethod>(
+    peer: VmId,
+    method: Method,
+    params: PeerMethods[Method]['params'],
+  ): Promise<PeerMethods[Method]['result']>;
+}
--- /dev/null
+++ b/standins/httpStandin.ts
@@ -0,0 +1,73 @@
+/** What the stand-ins share: a small HTTP server on loopback. */
+import { createServer, type IncomingMessage, type Server, type ServerResponse } from 'node:http';
+import type { AddressInfo, Socket } from 'node:net';
+
+/** A stand-in of something that the system meets over HTTP. */
+export abstract class HttpStandin {
+  protected readonly server: Server;
+
+  private readonly sockets = new Set<Socket>();
+
+  constructor() {
+    this.server = createServer((message, response) => {
+      this.handle(message, response).catch(() => response.destroy());
+    });
+    this.server.on('connection', (socket: Socket) => {
+      this.sockets.add(socket);
+      socket.on('close', () => this.sockets.delete(socket));
+      socket.on('error', () => {});
+    });
+  }
+
+  /** Answers a request. */
+  protected abstract handle(message: IncomingMessage, response: ServerResponse): Promise<void>;
+
+  /** Starts listening and returns the port. */
+  listen(port = 0, host = '127.0.0.1'): Promise<number> {
+    return new Promise((resolve, reject) => {
+      this.server.once('error', reject);
+      this.server.listen(port, host, () => resolve((this.server.address() as AddressInfo).port));
+    });
+  }
+
+  /** Breaks every connection, as a crash does, and stops listening. */
+  async crash(): Promise<void> {
+    const closed = new Promise<void>((resolve) => {
+      this.server.close(() => resolve());
+    });
+    this.breakConnections();
+    await closed;
+  }
+
+  /** Breaks every connection and goes on listening. */
+  breakConnections(): void {
+    this.sockets.forEach((socket) => socket.destroy());
+  }
+}
+
+/** Reads a body. */
+export async function readAll(message: IncomingMessage): Promise<Buffer> {
+  const parts: Buffer[] = [];
+  for await (const part of message) {
+    parts.push(part as Buffer);
+  }
+  return Buffer.concat(parts);
+}
+
+/** Sends JSON. */
+export function sendJson(
+  response: ServerResponse,
+  status: number,
+  body: unknown,
+  headers: Record<string, string> = {},
+): void {
+  response.writeHead(status, { 'content-type': 'application/json', ...headers });
+  response.end(JSON.stringify(body));
+}
+
+/** Resolves after a time on the machine's clock. */
+export function sleep(delayMs: number): Promise<void> {
+  return new Promise((resolve) => {
+    setTimeout(resolve, delayMs);
+  });
+}
--- /dev/null
+++ b/standins/logStandin.ts
@@ -0,0 +1,146 @@
+/** A stand-in for the platform's log service, with its faults on command. */
+import type { IncomingMessage, ServerResponse } from 'node:http';
+import { encode } from '@msgpack/msgpack';
+import type { Offset } from '../src/types/ids.js';
+import { HttpStandin, readAll, sendJson, sleep } from './httpStandin.js';
+import { StoredStream } from './logStore.js';
+
+/** What the log does wrong at the moment. */
+export interface LogFaults {
+  /** Answers nothing but 503. */
+  outage: boolean;
+  /** Waits so long before each answer, in milliseconds. */
+  slowMs: number;
+  /** Breaks the connection after so many more appends took effect. */
+  loseAnswers: number;
+}
+
+/** Options of the stand-in. */
+export interface LogStandinOptions {
+  /** Appends a second, over all streams. Default 500. */
+  readonly appendsPerSecond?: number;
+  /** How long records are kept, in milliseconds. Default one hour. */
+  readonly retentionMs?: number;
+}
+
+const PAGE_RECORDS = 1_000;
+const RETRY_AFTER_S = '0.05';
+
+/** The log. */
+export class LogStandin extends HttpStandin {
+  readonly faults: LogFaults = { outage: false, slowMs: 0, loseAnswers: 0 };
+
+  /** How many appends were stored. */
+  appends = 0;
+
+  private readonly streams = new Map<string, StoredStream>();
+
+  private readonly waiters = new Set<() => void>();
+
+  private allowance: number;
+
+  private allowanceAt = Date.now();
+
+  constructor(private readonly options: LogStandinOptions = {}) {
+    super();
+    this.allowance = options.appendsPerSecond ?? 500;
+  }
+
+  protected override async handle(
+    message: IncomingMessage,
+    response: ServerResponse,
+  ): Promise<void> {
+    const url = new URL(message.url ?? '/', 'http://log');
+    if (url.pathname === '/control') {
+      Object.assign(this.faults, JSON.parse((await readAll(message)).toString()));
+      sendJson(response, 200, { ...this.faults, appends: this.appends });
+      return;
+    }
+    const body = await readAll(message);
+    if (this.faults.slowMs > 0) {
+      await sleep(this.faults.slowMs);
+    }
+    if (this.faults.outage) {
+      sendJson(response, 503, { error: 'outage' });
+      return;
+    }
+    const name = decodeURIComponent(url.pathname.split('/')[2] ?? '');
+    const stream = this.getStream(name);
+    if (message.method === 'POST') {
+      this.append(stream, body, response);
+    } else {
+      await this.read(stream, url, response);
+    }
+  }
+
+  private getStream(name: string): StoredStream {
+    let stream = this.streams.get(name);
+    if (!stream) {
+      stream = new StoredStream();
+      this.streams.set(name, stream);
+    }
+    stream.trim(Date.now() - (this.options.retentionMs ?? 3_600_000));
+    return stream;
+  }
+
+  private append(stream: StoredStream, body: Buffer, response: ServerResponse): void {
+    if (!this.takeAllowance()) {
+      sendJson(response, 429, { error: 'append rate' }, { 'retry-after': RETRY_AFTER_S });
+      return;
+    }
+    const offset = stream.append(body, Date.now());
+    this.appends += 1;
+    [...this.waiters].forEach((wake) => wake());
+    if (this.faults.loseAnswers > 0) {
+      this.faults.loseAnswers -= 1;
+      response.destroy();
+      return;
+    }
+    sendJson(response, 200, { offset });
+  }
+
+  private async read(stream: StoredStream, url: URL, response: ServerResponse): Promise<void> {
+    const from = Number(url.searchParams.get('from') ?? 0) as Offset;
+    if (from < stream.getFirst()) {
+      sendJson(response, 410, { first: stream.getFirst() });
+      return;
+    }
+    const until = Date.now() + Number(url.searchParams.get('waitMs') ?? 0);
+    while (stream.getHead() <= from && Date.now() < until && !this.faults.outage) {
+      await this.waitForAppend(until - Date.now());
+    }
+    if (this.faults.outage) {
+      sendJson(response, 503, { error: 'outage' });
+      return;
+    }
+    const records = stream.read(from, PAGE_RECORDS).map(({ offset, data }) => [offset, data]);
+    response.writeHead(200, { 'content-type': 'application/msgpack' });
+    response.end(encode([stream.getFirst(), stream.getHead(), records]));
+  }
+
+  private waitForAppend(mostMs: number): Promise<void> {
+    return new Promise((resolve) => {
+      let timer: NodeJS.Timeout | undefined;
+      const finish = () => {
+        clearTimeout(timer);
+        this.waiters.delete(finish);
+        resolve();
+      };
+      timer = setTimeout(finish, Math.min(mostMs, 200));
+      this.waiters.add(finish);
+    });
+  }
+
+  private takeAllowance(): boolean {
+    const { appendsPerSecond = 500 } = this.options;
+    const now = Date.now();
+    const refill = ((now - this.allowanceAt) * appendsPerSecond) / 1_000;
+    this.allowance = Math.min(appendsPerSecond, this.allowance + refill);
+    this.allowanceAt = now;
+    if (this.allowance < 1) {
+      return false;
+    }
+    this.allowance -= 1;
+    return true;
+  }
+}
--- /dev/null
+++ b/standins/main.ts
@@ -0,0 +1,45 @@
+/** Runs one stand-in as a process: `main.js KIND [--port N]`. Prints its port as JSON. */
+import { parseArgs } from 'node:util';
+import { EngineStandin } from './engineStandin.js';
+import type { HttpStandin } from './httpStandin.js';
+import { LogStandin } from './logStandin.js';
+import { ServiceStandin } from './serviceStandin.js';
+import { VmListStandin } from './vmListStandin.js';
+
+const { positionals, values } = parseArgs({
+  allowPositionals: true,
+  options: {
+    port: { type: 'string', default: '0' },
+    'token-ms': { type: 'string', default: '5' },
+    slots: { type: 'string', default: '16' },
+    'answer-tokens': { type: 'string', default: '12' },
+    'appends-per-second': { type: 'string', default: '500' },
+    'retention-ms': { type: 'string', default: '3600000' },
+  },
+});
+
+function createStandin(kind: string | undefined): HttpStandin {
+  switch (kind) {
+    case 'log':
+      return new LogStandin({
+        appendsPerSecond: Number(values['appends-per-second']),
+        retentionMs: Number(values['retention-ms']),
+      });
+    case 'vms':
+      return new VmListStandin();
+    case 'engine':
+      return new EngineStandin({
+        tokenMs: Number(values['token-ms']),
+        slots: Number(values.slots),
+        answerTokens: Number(values['answer-tokens']),
+        onCrash: () => process.exit(1),
+      });
+    case 'service':
+      return new ServiceStandin();
+    default:
+      throw new Error(`unknown stand-in '${kind}'; expected log, vms, engine or service`);
+  }
+}
+
+const port = await createStandin(positionals[0]).listen(Number(values.port));
+process.stdout.write(`${JSON.stringify({ port })}\n`);
--- /dev/null
+++ b/standins/serviceStandin.ts
@@ -0,0 +1,57 @@
+/** A stand-in for a plain service: an order book that counts the runs of each call. */
+import type { IncomingMessage, ServerResponse } from 'node:http';
+import { HttpStandin, readAll, sendJson, sleep } from './httpStandin.js';
+
+/** The service. */
+export class ServiceStandin extends HttpStandin {
+  /** How often each call ran, by its key or else by the id that the router gave it. */
+  readonly runs = new Map<string, number>();
+
+  /** Takes effect, then waits so long before it answers, in milliseconds. */
+  slowMs = 0;
+
+  /** Takes effect and breaks the connection so many more times. */
+  loseAnswers = 0;
+
+  protected override async handle(
+    message: IncomingMessage,
+    response: ServerResponse,
+  ): Promise<void> {
+    const body = (await readAll(message)).toString();
+    const [path] = (message.url ?? '/').split('?');
+    if (path === '/control') {
+      Object.assign(this, JSON.parse(body));
+      sendJson(response, 200, {});
+      return;
+    }
+    if (message.method === 'POST' && path === '/orders') {
+      await this.book(message, body, response);
+      return;
+    }
+    if (message.method === 'GET' && path === '/orders') {
+      sendJson(response, 200, Object.fromEntries(this.runs));
+      return;
+    }
+    if (message.method === 'GET' && path === '/stock') {
+      sendJson(response, 200, { poles: 12, rolls: 7 });
+      return;
+    }
+    sendJson(response, 404, { error: 'no such call' });
+  }
+
+  private async book(
+    message: IncomingMessage,
+    body: string,
+    response: ServerResponse,
+  ): Promise<void> {
+    const key = String(message.headers['idempotency-key'] ?? message.headers['x-request-id']);
+    this.runs.set(key, (this.runs.get(key) ?? 0) + 1);
+    if (this.loseAnswers > 0) {
+      this.loseAnswers -= 1;
+      response.destroy();
+      return;
+    }
+    await sleep(this.slowMs);
+    sendJson(response, 201, { order: this.runs.size, item: JSON.parse(body || '{}') });
+  }
+}
