--- a/src/controllers/budgetShard.ts
+++ b/src/controllers/budgetShard.ts
@@ -7,7 +7,7 @@
 import type { LogService } from '../types/platform.js';
 import type { TimerService, Unsubscribe } from '../core/timers.js';
 import { getOrCreate } from '../core/utilities.js';
-import { BudgetFold, type Account } from '../folds/budgetFold.js';
+import { BudgetFold, type Account, type PendingAsk } from '../folds/budgetFold.js';
 import { StreamReader } from '../log/streamReader.js';
 import { StreamWriter } from '../log/streamWriter.js';
 import { BudgetAllotment } from './budgetAllotment.js';
@@ -54,9 +54,17 @@
   readonly tokens: number;
 }
 
+/** An ask that others wait behind. */
+interface BlockingAsk extends PendingAsk {
+  readonly since: number;
+}
+
 /** The log counts as away after failing for so long. */
 const LOG_AWAY_MS = 300;
 const MAINTENANCE_INTERVAL_MS = 1_000;
+const UNBLOCK_INTERVAL_MS = 250;
+/** An ask that is first in line for so long gives way to the next; its holder may be dead. */
+const BLOCKING_MAX_MS = 750;
 
 /** This process's part in one budget stream. */
 export class BudgetShard {
@@ -72,6 +80,9 @@
 
   private readonly transfersAsked = new Set<BudgetId>();
 
+  /** The asks of others that were first in line at the last check, and since when. */
+  private readonly blocking = new Map<BudgetId, BlockingAsk>();
+
   constructor(private readonly options: BudgetShardOptions) {
     const { log, timers, stream, incarnation, flushIntervalMs, pollMs, onRetry } = options;
     this.stream = stream;
@@ -92,6 +103,7 @@
     this.reader.start();
     this.subscriptions.push(
       timers.subscribeEvery(MAINTENANCE_INTERVAL_MS, () => this.maintain()),
+      timers.subscribeEvery(UNBLOCK_INTERVAL_MS, () => this.unblock()),
       timers.subscribeEvery(reportIntervalMs, () => this.report()),
     );
   }
@@ -141,6 +153,7 @@
     }
     const sent = allotment.withdraw(Math.min(tokens, allotment.free / 2));
     allotment.sent += sent;
+    this.reportAllotment(allotment);
     return sent;
   }
 
@@ -303,7 +316,8 @@
   private withdrawAsk(allotment: BudgetAllotment): void {
     const { budget, openAsk } = allotment;
     if (openAsk && allotment.waiters.length === 0) {
-      this.writer.append({ kind: 'cancel', budget, ask: openAsk.ask });
+      const holder = this.options.incarnation;
+      this.writer.append({ kind: 'cancel', budget, ask: openAsk.ask, holder });
     }
   }
 
@@ -318,6 +332,8 @@
     const tokens = await peers.requestTokens(budget, waiting + this.getTarget(allotment));
     this.transfersAsked.delete(budget);
     allotment.received += tokens;
+    // Stated before anything of it can be returned, so that the log never shows more out than in.
+    this.reportAllotment(allotment);
     allotment.credit(tokens);
   }
 
@@ -358,6 +374,23 @@
     }
   }
 
+  /** Withdraws the ask of another holder that this process's requests have waited behind too long. */
+  private unblock(): void {
+    const nowMs = this.options.timers.now();
+    this.allotments.forEach(({ budget, waiters }) => {
+      const [head] = this.reader.fold.accounts.get(budget)?.pending ?? [];
+      const known = this.blocking.get(budget);
+      if (!head || head.holder === this.options.incarnation || waiters.length === 0) {
+        this.blocking.delete(budget);
+      } else if (known?.holder !== head.holder || known.ask !== head.ask) {
+        this.blocking.set(budget, { ...head, since: nowMs });
+      } else if (nowMs - known.since >= BLOCKING_MAX_MS) {
+        this.blocking.delete(budget);
+        this.writer.append({ kind: 'cancel', budget, ask: head.ask, holder: head.holder });
+      }
+    });
+  }
+
   private giveBack(allotment: BudgetAllotment, tokens: number): Promise<void> {
     const returned = allotment.withdraw(tokens);
     if (returned === 0) {
@@ -381,13 +414,15 @@
   }
 
   private report(): void {
-    this.allotments.forEach((allotment) => {
-      const { budget, spent, sent, received, held } = allotment;
-      const totals = `${spent} ${sent} ${received} ${held}`;
-      if (totals !== allotment.reported) {
-        allotment.reported = totals;
-        this.writer.append({ kind: 'report', budget, spent, sent, received, held });
-      }
-    });
+    this.allotments.forEach((allotment) => this.reportAllotment(allotment));
+  }
+
+  private reportAllotment(allotment: BudgetAllotment): void {
+    const { budget, spent, sent, received, held } = allotment;
+    const totals = `${spent} ${sent} ${received} ${held}`;
+    if (totals !== allotment.reported) {
+      allotment.reported = totals;
+      this.writer.append({ kind: 'report', budget, spent, sent, received, held });
+    }
   }
 }
--- a/src/controllers/checkpointController.ts
+++ b/src/controllers/checkpointController.ts
@@ -46,6 +46,11 @@
     this.unsubscribe();
   }
 
+  /** Writes a checkpoint of every stream. */
+  writeAll(): void {
+    this.options.streams.forEach(writeCheckpoint);
+  }
+
   /** Writes the checkpoints that are due. */
   check(): void {
     const { streams, retentionMs, getRank } = this.options;
--- a/src/controllers/rulesController.ts
+++ b/src/controllers/rulesController.ts
@@ -8,6 +8,7 @@
 import type { RulesAnswer } from '../types/peers.js';
 import type { RuleSet } from '../types/rules.js';
 import type { TimerService } from '../core/timers.js';
+import { assertNever } from '../core/utilities.js';
 import { RulesFold } from '../folds/rulesFold.js';
 import { StreamReader } from '../log/streamReader.js';
 import { checkRules } from '../rules/checker.js';
@@ -82,8 +83,22 @@
     return { kind: 'text', version: this.getVersion(), lines: this.current?.lines ?? [] };
   }
 
+  /** Takes over the newest of what several peers proved; nothing where none has any rules. */
+  learnNewest(answers: readonly RulesAnswer[]): void {
+    answers.forEach((answer) => this.merge(answer));
+    const { fold } = this.reader;
+    if (fold.version > 0) {
+      this.adopt(fold.version, fold.lines);
+    }
+  }
+
   /** Takes over what a peer proved. */
   learn(answer: RulesAnswer): void {
+    this.merge(answer);
+    this.adopt(this.reader.fold.version, this.reader.fold.lines);
+  }
+
+  private merge(answer: RulesAnswer): void {
     const { fold } = this.reader;
     switch (answer.kind) {
       case 'edits':
@@ -96,8 +111,8 @@
         }
         break;
       default:
+        assertNever(answer);
     }
-    this.adopt(fold.version, fold.lines);
   }
 
   private getEditsAfter(after: RulesVersion): EditEntry[] | undefined {
--- a/src/core/codes.ts
+++ b/src/core/codes.ts
@@ -94,6 +94,13 @@
     'not_run',
     'The body did not arrive in time.',
   ),
+  inProgress: entry(
+    1012,
+    409,
+    'invalid_request_error',
+    'unknown',
+    'The same request is running here; its answer goes to the first caller.',
+  ),
   budgetExhausted: entry(
     2001,
     429,
--- a/src/core/timers.ts
+++ b/src/core/timers.ts
@@ -48,11 +48,10 @@
 
   /** Resolves with whether the promise was fulfilled within the time. */
   async isDoneWithin(promise: Promise<unknown>, timeoutMs: number): Promise<boolean> {
-    const timeout = new AbortController();
-    const inTime = promise.then(() => true);
-    const late = this.sleep(timeoutMs, timeout.signal).then(() => false);
-    const result = await Promise.race([inTime, late]);
-    timeout.abort();
+    const late = createDeferred<boolean>();
+    const unsubscribe = this.subscribe(timeoutMs, () => late.resolve(false));
+    const result = await Promise.race([promise.then(() => true), late.promise]);
+    unsubscribe();
     return result;
   }
 }
--- a/src/filters/bill.ts
+++ b/src/filters/bill.ts
@@ -30,10 +30,10 @@
     exchange: Exchange,
     next: () => Promise<FilterResult>,
   ): Promise<FilterResult> {
-    let billed = false;
+    exchange.isBilled = exchange.wasBilled;
     exchange.storeBill = async (outcome) => {
-      if (!billed) {
-        billed = true;
+      if (!exchange.isBilled) {
+        exchange.isBilled = true;
         await this.store(exchange, outcome);
       }
     };
--- a/src/filters/deduplicate.ts
+++ b/src/filters/deduplicate.ts
@@ -1,4 +1,7 @@
-/** Refuses an id that comes again with another body, and bodies that crash endpoints. */
+/**
+ * Recognises requests that this router has seen: refuses an id that comes with another body or while
+ * it is still running, and keeps one that was billed from being charged again.
+ */
 import { Err } from '../core/results.js';
 import { LRUCache } from 'lru-cache';
 import { Filter, type Exchange, type FilterResult } from '../types/exchange.js';
@@ -12,15 +15,23 @@
   readonly remembered?: number;
 }
 
-/** Checks the id and the body against what this router saw before. */
+interface KnownRequest {
+  readonly digest: string;
+  running: boolean;
+  billed: boolean;
+}
+
+const IN_PROGRESS_COME_BACK_MS = 1_000;
+
+/** Checks the id and the body against what this router saw before. Sets `wasBilled`. */
 export class Deduplicate extends Filter {
   override readonly name = 'deduplicate';
 
-  private readonly digests: LRUCache<string, string>;
+  private readonly known: LRUCache<string, KnownRequest>;
 
   constructor(private readonly options: DeduplicateOptions) {
     super();
-    this.digests = new LRUCache({ max: options.remembered ?? 20_000 });
+    this.known = new LRUCache({ max: options.remembered ?? 20_000 });
   }
 
   override async handle(
@@ -30,14 +41,30 @@
     if (this.options.suspects.isPoison(exchange.digest)) {
       return Err(createRefusal('poisonRequest', { ran: 'not_run' }));
     }
-    if (exchange.hasCallerId) {
-      const id = `${exchange.key.workspace}\n${exchange.id}`;
-      const known = this.digests.get(id);
-      if (known !== undefined && known !== exchange.digest) {
-        return Err(createRefusal('keyReused'));
-      }
-      this.digests.set(id, exchange.digest);
+    return exchange.hasCallerId ? this.handleKnown(exchange, next) : next();
+  }
+
+  private async handleKnown(
+    exchange: Exchange,
+    next: () => Promise<FilterResult>,
+  ): Promise<FilterResult> {
+    const id = `${exchange.key.workspace}\n${exchange.id}`;
+    const { digest } = exchange;
+    const known = this.known.get(id) ?? { digest, running: false, billed: false };
+    if (known.digest !== digest) {
+      return Err(createRefusal('keyReused'));
+    }
+    if (known.running) {
+      return Err(createRefusal('inProgress', { retryAfterMs: IN_PROGRESS_COME_BACK_MS }));
+    }
+    this.known.set(id, known);
+    known.running = true;
+    exchange.wasBilled = known.billed;
+    try {
+      return await next();
+    } finally {
+      known.running = false;
+      known.billed ||= exchange.isBilled;
     }
-    return next();
   }
 }
--- a/src/filters/holdBudget.ts
+++ b/src/filters/holdBudget.ts
@@ -38,7 +38,8 @@
     try {
       return await next();
     } finally {
-      hold.settle(exchange.usage.promptTokens + exchange.usage.completionTokens);
+      const { promptTokens, completionTokens } = exchange.usage;
+      hold.settle(exchange.wasBilled ? 0 : promptTokens + completionTokens);
     }
   }
 }
--- a/src/folds/budgetFold.ts
+++ b/src/folds/budgetFold.ts
@@ -90,7 +90,7 @@
         applyAsk(account, entry, context.incarnation);
         break;
       case 'cancel':
-        removePending(account, context.incarnation, entry.ask);
+        removePending(account, entry.holder, entry.ask);
         break;
       case 'return':
         getHolder(account, context.incarnation).returned += entry.tokens;
--- a/src/log/codec.ts
+++ b/src/log/codec.ts
@@ -15,7 +15,7 @@
 const FIELDS: FieldTable = {
   fund: { tag: 1, fields: ['budget', 'fund', 'tokens', 'version'] },
   ask: { tag: 2, fields: ['budget', 'ask', 'need', 'want'] },
-  cancel: { tag: 3, fields: ['budget', 'ask'] },
+  cancel: { tag: 3, fields: ['budget', 'ask', 'holder'] },
   return: { tag: 4, fields: ['budget', 'tokens'] },
   report: { tag: 5, fields: ['budget', 'spent', 'sent', 'received', 'held'] },
   claim: { tag: 6, fields: ['key', 'request', 'digest'] },
--- a/src/router.ts
+++ b/src/router.ts
@@ -59,6 +59,8 @@
   /** Creates the client for peers; their addresses come from the router. */
   readonly createPeerClient: (getAddress: (peer: VmId) => string | undefined) => PeerClient;
   readonly incarnation?: Incarnation;
+  /** A number in [0, 1); defaults to `Math.random`. */
+  readonly random?: () => number;
 }
 
 const LOG_AWAY_MS = 300;
@@ -105,6 +107,14 @@
 
   private vmPoll: Unsubscribe = () => {};
 
+  /** Whether a peer is being asked for its rules. */
+  private isLearning = false;
+
+  private bootstrap: Unsubscribe = () => {};
+
+  /** Whether the state of budgets and claims was once proven; a log that goes away changes nothing. */
+  private wasProven = false;
+
   constructor(private readonly options: RouterOptions) {
     const { settings, timers } = options;
     this.vm = brandId(settings.router.vm);
@@ -139,7 +149,13 @@
   }
 
   /** Starts everything; resolves with the port. */
-  async start(): Promise<number> {
+  start(): Promise<number> {
+    this.startControllers();
+    return this.server.listen();
+  }
+
+  /** Starts everything but the server. */
+  startControllers(): void {
     const { timers, settings } = this.options;
     this.rules.start();
     this.budgets.start();
@@ -150,7 +166,9 @@
       this.pollVms().catch(() => {});
     });
     this.pollVms().catch(() => {});
-    return this.server.listen();
+    this.bootstrap = timers.subscribeEvery(settings.peers.probeIntervalMs, () => {
+      this.bootstrapFromPeers().catch(() => {});
+    });
   }
 
   /**
@@ -171,6 +189,7 @@
   /** Stops at once, as a crash would, but leaves no timers. */
   halt(): void {
     this.vmPoll();
+    this.bootstrap();
     this.rules.stop();
     this.budgets.stop();
     this.claims.stop();
@@ -180,12 +199,18 @@
     this.rulesWriter.stop();
   }
 
+  /** Writes a checkpoint of every stream now. */
+  writeCheckpoints(): void {
+    this.checkpoints.writeAll();
+  }
+
   /** Returns why this router can't serve, or `undefined`. */
   getUnreadiness(): string | undefined {
     if (!this.rules.getInForce()) {
       return 'no proven rules';
     }
-    if (!this.budgets.isReady() || !this.claims.reader.isReady()) {
+    this.wasProven ||= this.budgets.isReady() && this.claims.reader.isReady();
+    if (!this.wasProven) {
       return 'no proven state of the budgets or claims';
     }
     return undefined;
@@ -241,6 +266,7 @@
       probeIntervalMs,
       probeCount,
       client: this.peerClient,
+      random: this.options.random,
       createProbe: () => this.createProbe(),
       onProbe: (message) => this.onProbe(message),
     });
@@ -387,13 +413,41 @@
     this.suspects.merge(message.suspects);
     const known = new Set(this.endpoints.getLeaving());
     message.leaving.filter((vm) => !known.has(vm)).forEach((vm) => this.endpoints.markLeaving(vm));
-    if (message.rulesVersion > this.rules.getVersion()) {
-      this.learnRules(message.vm, this.rules.getVersion()).catch(() => {});
+    const isBehind = message.rulesVersion > this.rules.getVersion();
+    if (isBehind && this.rules.getInForce() && !this.isLearning) {
+      this.learnRules(message.vm).catch(() => {});
+    }
+  }
+
+  private async learnRules(peer: VmId): Promise<void> {
+    this.isLearning = true;
+    try {
+      const after = this.rules.getVersion();
+      this.rules.learn(await this.peerClient.call(peer, 'rules.get', { after }));
+    } finally {
+      this.isLearning = false;
     }
   }
 
-  private async learnRules(peer: VmId, after: RulesVersion): Promise<void> {
-    this.rules.learn(await this.peerClient.call(peer, 'rules.get', { after }));
+  /**
+   * A new process that can't read the log asks every peer before it takes any version, so that it never
+   * serves an older one than it could have learned.
+   */
+  private async bootstrapFromPeers(): Promise<void> {
+    if (this.rules.getInForce() || this.rules.reader.getFailingMs() === 0 || this.isLearning) {
+      return;
+    }
+    this.isLearning = true;
+    const after = 0 as RulesVersion;
+    const answers = await Promise.allSettled(
+      this.membership
+        .getListedPeers()
+        .map((peer) => this.peerClient.call(peer, 'rules.get', { after })),
+    );
+    this.isLearning = false;
+    this.rules.learnNewest(
+      answers.flatMap((answer) => (answer.status === 'fulfilled' ? [answer.value] : [])),
+    );
   }
 
   private probeEveryPeer(): void {
--- a/src/types/exchange.ts
+++ b/src/types/exchange.ts
@@ -119,6 +119,12 @@
   /** What was used so far; decides what the budget is charged. */
   usage: Usage = { promptTokens: 0, completionTokens: 0 };
 
+  /** Whether this router billed the request before, so that it is not charged again. */
+  wasBilled = false;
+
+  /** Whether a bill for the request was stored or is being stored. Set by `bill`. */
+  isBilled = false;
+
   /** Stores the bill for the usage; repeats do nothing. Set by `bill`. */
   storeBill: (outcome: 'whole' | 'partial') => Promise<void> = () => Promise.resolve();
 
--- a/src/types/records.ts
+++ b/src/types/records.ts
@@ -28,11 +28,15 @@
   readonly want: number;
 }
 
-/** Withdraws an ask that was not granted yet. */
+/**
+ * Withdraws an ask that was not granted yet: the writer's own, or one of another holder that blocks
+ * those behind it. A holder whose ask was withdrawn by another asks again while it still has a need.
+ */
 export interface CancelEntry {
   readonly kind: 'cancel';
   readonly budget: BudgetId;
   readonly ask: number;
+  readonly holder: Incarnation;
 }
 
 /** Gives back granted tokens that the holder can no longer spend. */
--- /dev/null
+++ b/tests/properties/interleaving.test.ts
@@ -0,0 +1,17 @@
+import { test } from 'node:test';
+import { expect } from 'earl';
+import { runInParallel } from './parallel.js';
+
+test('the promises hold over 1,000 interleavings of every fault', async () => {
+  expect(await runInParallel({ runs: 1_000, seed: 1 })).toEqual([]);
+});
+
+test('the promises hold over 500 interleavings while the log forgets old records', async () => {
+  const interleaving = { retentionMs: 12_000, checkService: false };
+  expect(await runInParallel({ runs: 500, seed: 2, interleaving })).toEqual([]);
+});
+
+test('the promises hold over 500 interleavings of five routers and few tokens', async () => {
+  const interleaving = { tokens: 400, routers: 5, idleReturnMs: 1_000 };
+  expect(await runInParallel({ runs: 500, seed: 3, interleaving })).toEqual([]);
+});
--- /dev/null
+++ b/tests/properties/interleaving.ts
@@ -0,0 +1,432 @@
+/**
+ * Random interleavings of requests, retries, top-ups, deaths, pauses, partitions, outages and lost
+ * answers on a simulated fleet, with the promises checked after each step and at the end.
+ */
+import fc from 'fast-check';
+import { getExpectedWords } from '../support/fakeEndpoints.js';
+import { Simulation, type FakeResponse, type SimulationOptions } from '../support/simulation.js';
+
+/** One step. `router` counts modulo the number of routers. */
+export type Action =
+  | { readonly kind: 'chat'; readonly router: number; readonly tokens: number }
+  | { readonly kind: 'retryChat'; readonly router: number; readonly pick: number }
+  | { readonly kind: 'order'; readonly router: number; readonly key: number }
+  | { readonly kind: 'topUp'; readonly tokens: number }
+  | { readonly kind: 'raceRules'; readonly tokens: number }
+  | { readonly kind: 'kill'; readonly router: number }
+  | { readonly kind: 'restart'; readonly router: number }
+  | { readonly kind: 'pause'; readonly router: number }
+  | { readonly kind: 'resume'; readonly router: number }
+  | { readonly kind: 'cutLog'; readonly router: number; readonly cut: boolean }
+  | { readonly kind: 'cutPeers'; readonly a: number; readonly b: number; readonly cut: boolean }
+  | { readonly kind: 'outage'; readonly on: boolean }
+  | { readonly kind: 'slowLog'; readonly ms: number }
+  | { readonly kind: 'loseLogAnswers'; readonly router: number; readonly count: number }
+  | { readonly kind: 'doubleAppends'; readonly router: number; readonly count: number }
+  | { readonly kind: 'losePeerAnswers'; readonly count: number }
+  | { readonly kind: 'breakEndpoint'; readonly endpoint: string; readonly after: number }
+  | { readonly kind: 'mendEndpoint'; readonly endpoint: string }
+  | { readonly kind: 'checkpoint'; readonly router: number }
+  | { readonly kind: 'advance'; readonly ms: number };
+
+/** A promise did not hold. */
+export class BrokenPromise extends Error {}
+
+/** How a run is made. */
+export interface InterleavingOptions extends SimulationOptions {
+  /** Whether to check at the end that healed routers serve while funds last. Default true. */
+  readonly checkService?: boolean;
+}
+
+const router = fc.nat({ max: 4 });
+const tokens = fc.integer({ min: 1, max: 120 });
+const endpoint = fc.constantFrom('engine-1', 'engine-2', 'service-1', 'service-2');
+const count = fc.integer({ min: 1, max: 3 });
+
+/** Steps in the proportions that make interesting runs. */
+export const action: fc.Arbitrary<Action> = fc.oneof(
+  { weight: 8, arbitrary: fc.record({ kind: fc.constant('chat' as const), router, tokens }) },
+  {
+    weight: 4,
+    arbitrary: fc.record({ kind: fc.constant('retryChat' as const), router, pick: fc.nat(9) }),
+  },
+  {
+    weight: 5,
+    arbitrary: fc.record({ kind: fc.constant('order' as const), router, key: fc.nat(3) }),
+  },
+  {
+    weight: 8,
+    arbitrary: fc.record({
+      kind: fc.constant('advance' as const),
+      ms: fc.integer({ min: 1, max: 4_000 }),
+    }),
+  },
+  { weight: 1, arbitrary: fc.record({ kind: fc.constant('topUp' as const), tokens }) },
+  { weight: 1, arbitrary: fc.record({ kind: fc.constant('raceRules' as const), tokens }) },
+  { weight: 1, arbitrary: fc.record({ kind: fc.constant('kill' as const), router }) },
+  { weight: 1, arbitrary: fc.record({ kind: fc.constant('restart' as const), router }) },
+  { weight: 1, arbitrary: fc.record({ kind: fc.constant('pause' as const), router }) },
+  { weight: 2, arbitrary: fc.record({ kind: fc.constant('resume' as const), router }) },
+  {
+    weight: 2,
+    arbitrary: fc.record({ kind: fc.constant('cutLog' as const), router, cut: fc.boolean() }),
+  },
+  {
+    weight: 1,
+    arbitrary: fc.record({
+      kind: fc.constant('cutPeers' as const),
+      a: router,
+      b: router,
+      cut: fc.boolean(),
+    }),
+  },
+  { weight: 1, arbitrary: fc.record({ kind: fc.constant('outage' as const), on: fc.boolean() }) },
+  { weight: 1, arbitrary: fc.record({ kind: fc.constant('slowLog' as const), ms: fc.nat(300) }) },
+  {
+    weight: 2,
+    arbitrary: fc.record({ kind: fc.constant('loseLogAnswers' as const), router, count }),
+  },
+  {
+    weight: 1,
+    arbitrary: fc.record({ kind: fc.constant('doubleAppends' as const), router, count }),
+  },
+  { weight: 1, arbitrary: fc.record({ kind: fc.constant('losePeerAnswers' as const), count }) },
+  {
+    weight: 1,
+    arbitrary: fc.record({
+      kind: fc.constant('breakEndpoint' as const),
+      endpoint,
+      after: fc.nat(4),
+    }),
+  },
+  { weight: 1, arbitrary: fc.record({ kind: fc.constant('mendEndpoint' as const), endpoint }) },
+  { weight: 1, arbitrary: fc.record({ kind: fc.constant('checkpoint' as const), router }) },
+);
+
+/** Longer than any deadline, retry or hold of a simulation. */
+const HEALING_MS = 15_000;
+
+interface SentChat {
+  readonly id: string;
+  readonly prompt: string;
+  readonly tokens: number;
+  readonly router: string;
+  readonly response: FakeResponse;
+}
+
+interface SentOrder {
+  readonly key: string;
+  readonly response: FakeResponse;
+}
+
+/** One run of a sequence of actions. */
+export class Interleaving {
+  readonly simulation: Simulation;
+
+  private readonly chats: SentChat[] = [];
+
+  private readonly orders: SentOrder[] = [];
+
+  private readonly versions = new Map<string, number>();
+
+  private names = 0;
+
+  constructor(private readonly options: InterleavingOptions = {}) {
+    this.simulation = new Simulation(options);
+  }
+
+  /** Runs the actions, heals everything and checks the end. Throws `BrokenPromise`. */
+  async run(actions: readonly Action[]): Promise<void> {
+    const { simulation } = this;
+    await simulation.advance(1_500);
+    for (const step of actions) {
+      this.apply(step);
+      await simulation.advance(step.kind === 'advance' ? step.ms : 7);
+      this.checkStep();
+    }
+    simulation.heal();
+    await simulation.advance(HEALING_MS);
+    this.checkStep();
+    this.checkEnd();
+    if (this.options.checkService !== false) {
+      await this.checkService();
+    }
+  }
+
+  private apply(step: Action): void {
+    const { simulation } = this;
+    const { server, network, endpoints } = simulation;
+    switch (step.kind) {
+      case 'chat':
+        this.names += 1;
+        this.sendChat(step.router, `chat-${this.names}`, `prompt ${this.names}`, step.tokens);
+        break;
+      case 'retryChat':
+        this.retryChat(step.router, step.pick);
+        break;
+      case 'order':
+        this.sendOrder(step.router, `order-${step.key}`);
+        break;
+      case 'topUp':
+        this.names += 1;
+        simulation.topUp(`more-${this.names}`, step.tokens);
+        break;
+      case 'raceRules':
+        this.raceRules(step.tokens);
+        break;
+      case 'kill':
+        if (this.getRun(step.router).isAlive) {
+          simulation.kill(this.getIndex(step.router));
+        }
+        break;
+      case 'restart':
+        if (!this.getRun(step.router).isAlive) {
+          simulation.startRouter(this.getIndex(step.router));
+        }
+        break;
+      case 'pause':
+        this.getRun(step.router).process.pause();
+        break;
+      case 'resume':
+        if (this.getRun(step.router).isAlive) {
+          this.getRun(step.router).process.resume();
+        }
+        break;
+      case 'cutLog':
+        this.getRun(step.router).log.cut = step.cut || !this.getRun(step.router).isAlive;
+        break;
+      case 'cutPeers':
+        network.setCut(this.getRun(step.a).name, this.getRun(step.b).name, step.cut);
+        break;
+      case 'outage':
+        server.outage = step.on;
+        break;
+      case 'slowLog':
+        server.slowMs = step.ms;
+        break;
+      case 'loseLogAnswers':
+        this.getRun(step.router).log.loseAnswers = step.count;
+        break;
+      case 'doubleAppends':
+        this.getRun(step.router).log.doubledAppends = step.count;
+        break;
+      case 'losePeerAnswers':
+        network.loseAnswers = step.count;
+        break;
+      case 'breakEndpoint':
+        endpoints.setFaults(step.endpoint, { breakAfter: step.after });
+        break;
+      case 'mendEndpoint':
+        endpoints.setFaults(step.endpoint, {});
+        break;
+      case 'checkpoint':
+        this.writeCheckpoints(step.router);
+        break;
+      default:
+    }
+  }
+
+  private getIndex(number: number): number {
+    return number % this.simulation.routers.length;
+  }
+
+  private getRun(number: number) {
+    return this.simulation.routers[this.getIndex(number)]!;
+  }
+
+  private sendChat(number: number, id: string, prompt: string, most: number): void {
+    const run = this.getRun(number);
+    if (run.isAlive) {
+      const response = this.simulation.chat(this.getIndex(number), id, prompt, most);
+      this.chats.push({ id, prompt, tokens: most, router: run.name, response });
+    }
+  }
+
+  private retryChat(number: number, pick: number): void {
+    const failed = this.chats.filter(({ response }) => !response.isWhole());
+    const chosen = failed[pick % Math.max(1, failed.length)];
+    if (chosen) {
+      this.sendChat(number, chosen.id, chosen.prompt, chosen.tokens);
+    }
+  }
+
+  private sendOrder(number: number, key: string): void {
+    if (this.getRun(number).isAlive) {
+      const response = this.simulation.order(this.getIndex(number), key);
+      this.orders.push({ key, response });
+    }
+  }
+
+  /** Two operators edit the same version; one must win. */
+  private raceRules(amount: number): void {
+    const { simulation } = this;
+    const before = [...simulation.lines];
+    const { version } = simulation.getRules();
+    this.names += 1;
+    const winner = [...before, `fund race-${this.names} budget=b tokens=${amount} # first`];
+    const loser = [...before, `fund lost-${this.names} budget=b tokens=100000 # second`];
+    simulation.publish(before, winner, version);
+    simulation.publish(before, loser, version);
+    simulation.lines.splice(0, simulation.lines.length, ...winner);
+    simulation.funded += amount;
+  }
+
+  private writeCheckpoints(number: number): void {
+    const { router: target, isAlive, process } = this.getRun(number);
+    if (isAlive && !process.isPaused()) {
+      target.writeCheckpoints();
+    }
+  }
+
+  private checkStep(): void {
+    const { simulation } = this;
+    const out = simulation.getTokensOut();
+    if (out > simulation.funded) {
+      throw new BrokenPromise(`${out} tokens are out of ${simulation.funded} funded`);
+    }
+    simulation.endpoints.orders.forEach((runs, key) => {
+      if (runs > 1) {
+        throw new BrokenPromise(`${key} ran ${runs} times`);
+      }
+    });
+    this.chats.forEach((chat) => checkAnswer(chat));
+    simulation.runs.forEach(({ router: { rules } }, index) => {
+      const version = rules.getVersion();
+      if (version < (this.versions.get(String(index)) ?? 0)) {
+        throw new BrokenPromise(`the rules of run ${index} went back to ${version}`);
+      }
+      this.versions.set(String(index), version);
+    });
+  }
+
+  private checkEnd(): void {
+    this.checkOrders();
+    this.checkRules();
+    this.chats.forEach(({ id, response }) => {
+      const isAnswered = response.finished || !this.wasServedByLiving(response);
+      if (!isAnswered) {
+        throw new BrokenPromise(`${id} never got its answer`);
+      }
+    });
+    this.checkBills();
+    const broken = this.simulation.audit().findings.filter(({ severity }) => severity === 'broken');
+    if (broken.length > 0) {
+      throw new BrokenPromise(`audit: ${broken[0]!.detail}`);
+    }
+  }
+
+  private wasServedByLiving(response: FakeResponse): boolean {
+    const chat = this.chats.find((sent) => sent.response === response)!;
+    const runs = this.simulation.runs.filter(({ name }) => name === chat.router);
+    return runs.every(({ isAlive }) => isAlive);
+  }
+
+  /** A call that every answer calls "not run" did not run, and one that was answered ran once. */
+  private checkOrders(): void {
+    const keys = new Set(this.orders.map(({ key }) => key));
+    keys.forEach((key) => {
+      const responses = this.orders.filter((sent) => sent.key === key).map((sent) => sent.response);
+      const runs = this.simulation.endpoints.orders.get(key) ?? 0;
+      const answered = responses.some(({ status }) => status === 201);
+      const allNotRun = responses.every(({ error }) => error?.ran === 'not_run');
+      if (allNotRun && runs > 0) {
+        throw new BrokenPromise(`${key} was called not run and ran`);
+      }
+      if (answered && runs !== 1) {
+        throw new BrokenPromise(`${key} was answered and ran ${runs} times`);
+      }
+    });
+  }
+
+  private checkRules(): void {
+    const accepted = this.simulation.getRules().version;
+    this.simulation.routers
+      .filter(({ isAlive, router: { rules } }) => isAlive && rules.reader.isReady())
+      .forEach(({ name, router: { rules } }) => {
+        if (rules.getVersion() !== accepted) {
+          throw new BrokenPromise(`${name} has version ${rules.getVersion()} of ${accepted}`);
+        }
+      });
+  }
+
+  /** Each whole answer of a router that lives has one bill that counts. */
+  private checkBills(): void {
+    const billed = new Set<string>();
+    this.simulation.dump('bills').batches.forEach(({ batch }) => {
+      batch.entries.forEach((entry) => {
+        if (entry.kind === 'bill') {
+          billed.add(entry.request);
+        }
+      });
+    });
+    this.chats
+      .filter(({ response }) => response.isWhole() && this.wasServedByLiving(response))
+      .forEach(({ id }) => {
+        if (!billed.has(`w/${id}`)) {
+          throw new BrokenPromise(`${id} was answered and not billed`);
+        }
+      });
+  }
+
+  /** With the log up, a request that the remaining funds cover is served. */
+  private async checkService(): Promise<void> {
+    const { simulation } = this;
+    const index = simulation.routers.findIndex(({ isAlive }) => isAlive);
+    const left = simulation.getTokensLeft();
+    const maxTokens = 10;
+    if (index < 0 || left < 120 + maxTokens) {
+      return;
+    }
+    const response = simulation.chat(index, 'last', 'last', maxTokens);
+    await simulation.advance(10_000);
+    if (!response.isWhole()) {
+      const why = response.error?.code ?? 'no answer';
+      throw new BrokenPromise(`false refusal (${why}) with ${left} tokens left`);
+    }
+  }
+}
+
+/** What the caller has is a part of its own answer, and the whole of it where it says so. */
+function checkAnswer({ id, prompt, tokens: most, response }: SentChat): void {
+  if (response.failure) {
+    throw response.failure;
+  }
+  const words = response.getWords();
+  const expected = getExpectedWords(prompt, most);
+  const isPart = words.every((word, index) => word === expected[index]);
+  if (!isPart || (response.isWhole() && words.length !== expected.length)) {
+    throw new BrokenPromise(`${id} got another answer`);
+  }
+}
+
+/** Runs interleavings and returns the report of fast-check. */
+export function checkInterleavings(options: {
+  readonly runs: number;
+  readonly seed: number;
+  readonly interleaving?: InterleavingOptions;
+  readonly path?: string;
+  /** Whether to look for the shortest steps to a failure. Default true. */
+  readonly shrink?: boolean;
+}): Promise<fc.RunDetails<[Action[]]>> {
+  const { runs, seed, interleaving, path, shrink = true } = options;
+  const property = fc.asyncProperty(
+    fc.array(action, { minLength: 5, maxLength: 40 }),
+    async (actions) => {
+      await new Interleaving(interleaving).run(actions);
+    },
+  );
+  return fc.check(property, { numRuns: runs, seed, path, endOnFailure: !shrink }) as Promise<
+    fc.RunDetails<[Action[]]>
+  >;
+}
+
+/** Describes a failed check: the error and the shortest steps to it. */
+export function describeFailure(details: fc.RunDetails<[Action[]]>): string {
+  if (!details.failed) {
+    return '';
+  }
+  const steps = JSON.stringify(details.counterexample?.[0]);
+  const { errorInstance } = details;
+  const message = errorInstance instanceof Error ? errorInstance.stack : String(errorInstance);
+  return `seed ${details.seed} path ${details.counterexamplePath}: ${message}: ${steps}`;
+}
--- /dev/null
+++ b/tests/properties/mutants.ts
@@ -0,0 +1,243 @@
+/** Broken variants of the design that the interleavings must find. */
+import { Ok, type Result } from '../../src/core/results.js';
+import type { Fold } from '../../src/folds/fold.js';
+import { applyLineChanges, getRulesDigest } from '../../src/folds/rulesFold.js';
+import type { BudgetFold } from '../../src/folds/budgetFold.js';
+import type { ClaimFold } from '../../src/folds/claimFold.js';
+import { decodeBatch, encodeBatch } from '../../src/log/codec.js';
+import type { StreamReader } from '../../src/log/streamReader.js';
+import type { Router } from '../../src/router.js';
+import type { BudgetId, Offset, StreamName } from '../../src/types/ids.js';
+import type { Entry } from '../../src/types/records.js';
+import { LogService, type LogFailure, type LogPage } from '../../src/types/platform.js';
+import type { InterleavingOptions } from './interleaving.js';
+
+/** A broken variant. */
+export interface Mutant {
+  readonly name: string;
+  readonly options: InterleavingOptions;
+}
+
+type Loose = Record<string, unknown>;
+
+const RETENTION_MS = 4_000;
+const VOID_AFTER_CHECKS = 3;
+
+/** Replaces a member, whether or not it is private. */
+function replace<Target extends object>(
+  target: Target,
+  name: string,
+  create: (original: (...args: never[]) => unknown) => unknown,
+): void {
+  const loose = target as Loose;
+  const original = loose[name];
+  loose[name] = create(
+    typeof original === 'function' ? (original.bind(target) as never) : () => original,
+  );
+}
+
+function getReaders({ budgets, claims, rules }: Router): StreamReader<Fold>[] {
+  return [claims.reader, rules.reader, ...budgets.shards.map(({ reader }) => reader)];
+}
+
+/** Sends an append whose answer was lost again, under a new sequence. */
+class RenamingLog extends LogService {
+  private readonly shift = new Map<string, number>();
+
+  constructor(private readonly log: LogService) {
+    super();
+  }
+
+  override async append(stream: StreamName, data: Uint8Array): Promise<Result<Offset, LogFailure>> {
+    const batch = decodeBatch(data)!;
+    const shift = this.shift.get(stream) ?? 0;
+    const renamed = encodeBatch({ ...batch, sequence: batch.sequence + shift });
+    const result = await this.log.append(stream, renamed);
+    if (result.err) {
+      this.shift.set(stream, shift + 1);
+    }
+    return result;
+  }
+
+  override read(
+    stream: StreamName,
+    from: Offset,
+    waitMs: number,
+  ): Promise<Result<LogPage, LogFailure>> {
+    return this.log.read(stream, from, waitMs);
+  }
+}
+
+function skipDuplicateFilter(router: Router): void {
+  getReaders(router).forEach((reader) => {
+    replace((reader as unknown as { duplicates: object }).duplicates, 'accept', () => () => true);
+  });
+}
+
+function creditBeforeGrant({ budgets }: Router): void {
+  budgets.shards.forEach((shard) => {
+    replace(shard, 'ask', (ask) => (allotment: never, need: never) => {
+      ask(allotment, need);
+      (allotment as { credit: (tokens: number) => void }).credit(Math.max(need, 100));
+    });
+  });
+}
+
+function judgeByOwnRules({ budgets, rules }: Router): void {
+  budgets.shards.forEach(({ reader }) => {
+    replace(reader.fold, 'apply', (apply) => (entry: Entry, context: never) => {
+      if (entry.kind === 'fund') {
+        return;
+      }
+      if ('budget' in entry) {
+        setFundsFromRules(reader.fold, entry.budget, rules.getInForce()?.set.funds ?? []);
+      }
+      apply(entry as never, context);
+    });
+  });
+}
+
+function setFundsFromRules(
+  fold: BudgetFold,
+  budget: BudgetId,
+  funds: readonly { readonly budget: BudgetId; readonly tokens: number }[],
+): void {
+  const account = fold.accounts.get(budget);
+  if (account) {
+    account.funded = funds
+      .filter((fund) => fund.budget === budget)
+      .reduce((sum, { tokens }) => sum + tokens, 0);
+  }
+}
+
+function voidOldClaims(router: Router): void {
+  const seen = new Map<string, number>();
+  const { timers } = (router as unknown as { options: { timers: { subscribeEvery: never } } })
+    .options;
+  const every = timers as unknown as {
+    subscribeEvery: (ms: number, listener: () => void) => void;
+  };
+  every.subscribeEvery(1_000, () => {
+    const fold: ClaimFold = router.claims.reader.fold;
+    fold.claims.forEach((claim, key) => {
+      seen.set(key, (seen.get(key) ?? 0) + 1);
+      if (!claim.outcome && seen.get(key)! > VOID_AFTER_CHECKS) {
+        fold.claims.delete(key);
+        seen.delete(key);
+      }
+    });
+  });
+}
+
+function sendWithoutDeducting({ budgets }: Router): void {
+  replace(budgets, 'sendTokens', () => (_: BudgetId, tokens: number) => Math.ceil(tokens / 2));
+}
+
+function returnWithoutDeducting({ budgets }: Router): void {
+  budgets.shards.forEach((shard) => {
+    replace(shard, 'giveBack', (giveBack) => async (allotment: never, tokens: never) => {
+      const { free } = allotment as { free: number };
+      await giveBack(allotment, tokens);
+      (allotment as { free: number }).free = free;
+    });
+  });
+}
+
+function runBeforeClaimIsDecided({ claims }: Router): void {
+  replace(claims, 'claim', (claim) => async (key: never, request: never, digest: never) => {
+    claim(key, request, digest);
+    return Ok({ kind: 'won' });
+  });
+}
+
+function acceptAnyBase({ rules }: Router): void {
+  const { fold } = rules.reader;
+  replace(fold, 'apply', (apply) => (entry: Entry) => {
+    if (entry.kind === 'edit') {
+      const digest = getRulesDigest(applyLineChanges(fold.lines, entry.changes));
+      apply({ ...entry, base: fold.version, digest } as never);
+    }
+  });
+}
+
+/** Calls a request "not run" although its call went out. */
+function denyRunning(router: Router): void {
+  const { filters } = router as unknown as { filters: { name: string }[] };
+  const relay = filters.find(({ name }) => name === 'relay')!;
+  replace(relay, 'handle', (handle) => async (exchange: never) => {
+    const result = (await handle(exchange)) as { err: boolean; val: Loose };
+    if (result.err) {
+      result.val = { ...result.val, ran: 'not_run' };
+    }
+    return result;
+  });
+}
+
+/** Goes on after a gap in the log as if nothing were missing. */
+function ignoreGaps(router: Router): void {
+  getReaders(router).forEach((reader) => {
+    replace(reader, 'startOver', () => (first: Offset) => {
+      (reader as unknown as { next: Offset }).next = first;
+    });
+  });
+}
+
+function forgetBills(router: Router): void {
+  const { bills } = router as unknown as { bills: object };
+  let count = 0;
+  replace(bills, 'append', (append) => (entry: never) => {
+    count += 1;
+    return count % 5 === 0 ? Promise.resolve() : append(entry);
+  });
+}
+
+function mixAnswers(router: Router): void {
+  const { options } = router as unknown as { options: { endpointClient: object } };
+  let last: unknown;
+  replace(options.endpointClient, 'send', (send) => async (call: { body?: Uint8Array }) => {
+    const body = last ?? call.body;
+    last = call.body;
+    return send({ ...call, body } as never);
+  });
+}
+
+/** Every broken variant. */
+export const mutants: readonly Mutant[] = [
+  {
+    name: 'an append is sent again under a new id',
+    options: { wrapLog: (log) => new RenamingLog(log) },
+  },
+  {
+    name: 'repeated records are folded twice',
+    options: { alterRouter: skipDuplicateFilter, tokens: 400, idleReturnMs: 1_000 },
+  },
+  {
+    name: 'tokens are spent before the log grants them',
+    options: { alterRouter: creditBeforeGrant },
+  },
+  {
+    name: 'grants are judged by funds of another stream',
+    options: { alterRouter: judgeByOwnRules },
+  },
+  {
+    name: 'a claim without outcome is voided after a time',
+    options: { alterRouter: voidOldClaims },
+  },
+  {
+    name: 'a transfer is not deducted',
+    options: { alterRouter: sendWithoutDeducting, tokens: 400 },
+  },
+  { name: 'a return is not deducted', options: { alterRouter: returnWithoutDeducting } },
+  {
+    name: 'a call goes out before its claim is decided',
+    options: { alterRouter: runBeforeClaimIsDecided },
+  },
+  { name: 'an edit is accepted from any base', options: { alterRouter: acceptAnyBase } },
+  { name: 'a failed call is always called not run', options: { alterRouter: denyRunning } },
+  { name: 'some bills are not stored', options: { alterRouter: forgetBills } },
+  { name: 'answers are mixed up', options: { alterRouter: mixAnswers } },
+  {
+    name: 'a gap in the log is passed over',
+    options: { alterRouter: ignoreGaps, retentionMs: RETENTION_MS, checkService: false },
+  },
+];
--- /dev/null
+++ b/tests/properties/worker.ts
@@ -0,0 +1,7 @@
+/** A worker thread that runs its share of interleavings. */
+import { parentPort, workerData } from 'node:worker_threads';
+import { checkInterleavings, describeFailure } from './interleaving.js';
+import type { Chunk } from './parallel.js';
+
+const details = await checkInterleavings(workerData as Chunk);
+parentPort!.postMessage(describeFailure(details));
--- /dev/null
+++ b/tests/support/fakeEndpoints.ts
@@ -0,0 +1,181 @@
+/** Engines and an order book on virtual time. */
+import { Err, Ok, type Result } from '../../src/core/results.js';
+import type { TimerService } from '../../src/core/timers.js';
+import {
+  EndpointClient,
+  EndpointError,
+  type EndpointAnswer,
+  type EndpointCall,
+  type EndpointFailure,
+} from '../../src/types/endpoints.js';
+import type { PausableTimers } from './pausableTimers.js';
+
+/** What an endpoint does wrong. */
+export interface EndpointFaults {
+  down?: boolean;
+  /** Breaks the connection after so many tokens; 0 breaks it before the answer. */
+  breakAfter?: number;
+  /** Answers with the words of another prompt, under that one's id. */
+  crossed?: boolean;
+  silent?: boolean;
+  leaving?: boolean;
+  rejecting?: boolean;
+}
+
+const TOKEN_MS = 20;
+const SILENCE_MS = 2_000;
+const WORDS = ['ash', 'pole', 'roll', 'pile', 'dye'];
+
+/** A prompt with this text breaks every connection to the endpoint that runs it. */
+export const CRASH_TEXT = 'crash';
+
+/** Every endpoint of a simulation. */
+export class FakeEndpoints {
+  readonly faults = new Map<string, EndpointFaults>();
+
+  /** Runs of each order, by its key. */
+  readonly orders = new Map<string, number>();
+
+  /** Calls that reached each endpoint. */
+  readonly calls = new Map<string, number>();
+
+  /** How often each endpoint died. */
+  readonly deaths = new Map<string, number>();
+
+  readonly lifetimes = new Map<string, number>();
+
+  constructor(readonly timers: TimerService) {}
+
+  setFaults(endpoint: string, faults: EndpointFaults): void {
+    this.faults.set(endpoint, faults);
+  }
+
+  crash(endpoint: string): void {
+    this.deaths.set(endpoint, (this.deaths.get(endpoint) ?? 0) + 1);
+    this.lifetimes.set(endpoint, (this.lifetimes.get(endpoint) ?? 0) + 1);
+  }
+}
+
+/** The words that a prompt gets on every engine. */
+export function getExpectedWords(prompt: string, count: number): string[] {
+  return Array.from({ length: count }, (_, index) => {
+    const character = prompt.charCodeAt((index * 7) % prompt.length);
+    return ` ${WORDS[(character + index) % WORDS.length]!}`;
+  });
+}
+
+/** One process's way to the endpoints. */
+export class FakeEndpointClient extends EndpointClient {
+  constructor(
+    private readonly endpoints: FakeEndpoints,
+    private readonly process: PausableTimers,
+  ) {
+    super();
+  }
+
+  override async send(call: EndpointCall): Promise<Result<EndpointAnswer, EndpointFailure>> {
+    const { endpoints, process } = this;
+    const endpoint = new URL(call.url).hostname;
+    await endpoints.timers.sleep(1);
+    await process.gate();
+    if (call.signal.aborted) {
+      return Err({ kind: 'aborted', detail: 'aborted' });
+    }
+    const faults = endpoints.faults.get(endpoint) ?? {};
+    if (faults.down) {
+      return Err({ kind: 'unreachable', detail: 'down' });
+    }
+    endpoints.calls.set(endpoint, (endpoints.calls.get(endpoint) ?? 0) + 1);
+    if (faults.leaving) {
+      return Ok(createAnswer(503, { 'x-endpoint-leaving': 'yes' }, []));
+    }
+    if (faults.rejecting) {
+      return Ok(createAnswer(503, {}, []));
+    }
+    return call.url.includes('/v1/') ? this.chat(endpoint, call, faults) : this.order(call, faults);
+  }
+
+  private async order(
+    call: EndpointCall,
+    faults: EndpointFaults,
+  ): Promise<Result<EndpointAnswer, EndpointFailure>> {
+    const { endpoints } = this;
+    const key = call.headers['idempotency-key'] ?? call.headers['x-request-id']!;
+    endpoints.orders.set(key, (endpoints.orders.get(key) ?? 0) + 1);
+    await endpoints.timers.sleep(TOKEN_MS);
+    if (faults.breakAfter !== undefined) {
+      return Err({ kind: 'broken', detail: 'lost answer' });
+    }
+    return Ok(createAnswer(201, { 'content-type': 'application/json' }, [`{"order":"${key}"}`]));
+  }
+
+  private async chat(
+    endpoint: string,
+    call: EndpointCall,
+    faults: EndpointFaults,
+  ): Promise<Result<EndpointAnswer, EndpointFailure>> {
+    const { endpoints } = this;
+    const body = JSON.parse(Buffer.from(call.body!).toString());
+    const prompt: string = body.messages[0].content;
+    const lifetime = endpoints.lifetimes.get(endpoint) ?? 0;
+    await endpoints.timers.sleep(TOKEN_MS);
+    if (prompt.includes(CRASH_TEXT)) {
+      endpoints.crash(endpoint);
+    }
+    if (faults.breakAfter === 0 || (endpoints.lifetimes.get(endpoint) ?? 0) !== lifetime) {
+      return Err({ kind: 'broken', detail: 'broken' });
+    }
+    const id = call.headers['x-request-id']!;
+    const words = getExpectedWords(faults.crossed ? `other ${prompt}` : prompt, body.max_tokens);
+    const headers = faults.crossed ? { 'x-request-id': `other-${id}` } : { 'x-request-id': id };
+    const parts = this.stream(endpoint, call, id, words, faults, lifetime);
+    return Ok({ ...createAnswer(200, headers, []), body: parts });
+  }
+
+  private async *stream(
+    endpoint: string,
+    call: EndpointCall,
+    id: string,
+    words: readonly string[],
+    faults: EndpointFaults,
+    lifetime: number,
+  ): AsyncGenerator<Uint8Array> {
+    const { endpoints, process } = this;
+    for (let index = 0; index < words.length; index += 1) {
+      await endpoints.timers.sleep(TOKEN_MS);
+      await process.gate();
+      if (call.signal.aborted) {
+        throw new EndpointError({ kind: 'aborted', detail: 'aborted' });
+      }
+      const isDead = (endpoints.lifetimes.get(endpoint) ?? 0) !== lifetime;
+      if (isDead || index === faults.breakAfter) {
+        throw new EndpointError({ kind: 'broken', detail: 'broken' });
+      }
+      if (faults.silent && index === 1) {
+        await endpoints.timers.sleep(SILENCE_MS);
+        throw new EndpointError({ kind: 'silent', detail: 'silent' });
+      }
+      const delta = { content: words[index] };
+      yield createEvent({ id, choices: [{ index: 0, delta, finish_reason: null }] });
+    }
+    yield createEvent({ id, choices: [{ index: 0, delta: {}, finish_reason: 'stop' }] });
+    const usage = { prompt_tokens: 5, completion_tokens: words.length };
+    yield createEvent({ id, choices: [], usage });
+    yield Buffer.from('data: [DONE]\n\n');
+  }
+}
+
+function createEvent(data: object): Uint8Array {
+  return Buffer.from(`data: ${JSON.stringify(data)}\n\n`);
+}
+
+function createAnswer(
+  status: number,
+  headers: Readonly<Record<string, string>>,
+  parts: readonly string[],
+): EndpointAnswer {
+  async function* read(): AsyncGenerator<Uint8Array> {
+    yield* parts.map((part) => Buffer.from(part));
+  }
+  return { status, headers, body: read(), abort: () => {} };
+}
--- /dev/null
+++ b/tests/support/fakeLog.ts
@@ -0,0 +1,136 @@
+/** A log in memory on virtual time, with each kind of fault. */
+import { Err, Ok, type Result } from '../../src/core/results.js';
+import type { TimerService } from '../../src/core/timers.js';
+import type { Offset, StreamName } from '../../src/types/ids.js';
+import { LogService, type LogFailure, type LogPage } from '../../src/types/platform.js';
+import { StoredStream } from '../../standins/logStore.js';
+import type { PausableTimers } from './pausableTimers.js';
+
+const LATENCY_MS = 3;
+const TIMEOUT_MS = 400;
+const PAGE_RECORDS = 500;
+
+/** The log's own state. */
+export class FakeLogServer {
+  readonly streams = new Map<string, StoredStream>();
+
+  outage = false;
+
+  slowMs = 0;
+
+  retentionMs = Number.POSITIVE_INFINITY;
+
+  /** Called for each record, before anybody can read it. */
+  onAppend: (name: string, offset: Offset, data: Uint8Array) => void = () => {};
+
+  private readonly waiters = new Set<() => void>();
+
+  constructor(readonly timers: TimerService) {}
+
+  getStream(name: string): StoredStream {
+    const stream = this.streams.get(name) ?? new StoredStream();
+    this.streams.set(name, stream);
+    if (Number.isFinite(this.retentionMs)) {
+      stream.trim(this.timers.now() - this.retentionMs);
+    }
+    return stream;
+  }
+
+  append(name: string, data: Uint8Array): Offset {
+    const offset = this.getStream(name).append(data, this.timers.now());
+    this.onAppend(name, offset, data);
+    [...this.waiters].forEach((wake) => wake());
+    return offset;
+  }
+
+  waitForAppend(mostMs: number): Promise<void> {
+    return new Promise((resolve) => {
+      const finish = () => {
+        this.waiters.delete(finish);
+        resolve();
+      };
+      const cancel = this.timers.subscribe(mostMs, finish);
+      this.waiters.add(() => {
+        cancel();
+        finish();
+      });
+    });
+  }
+}
+
+/** One process's way to the log. */
+export class FakeLog extends LogService {
+  /** No call gets through, in either direction. */
+  cut = false;
+
+  /** So many more appends take effect without their answer arriving. */
+  loseAnswers = 0;
+
+  /** So many more appends are given up on, and take effect twice: at once and much later. */
+  doubledAppends = 0;
+
+  constructor(
+    private readonly server: FakeLogServer,
+    private readonly process: PausableTimers,
+  ) {
+    super();
+  }
+
+  override async append(stream: StreamName, data: Uint8Array): Promise<Result<Offset, LogFailure>> {
+    const { server, process } = this;
+    await server.timers.sleep(LATENCY_MS + server.slowMs);
+    if (this.cut || server.outage) {
+      return this.fail();
+    }
+    if (this.doubledAppends > 0) {
+      this.doubledAppends -= 1;
+      server.append(stream, data);
+      server.timers.subscribe(5 * TIMEOUT_MS, () => server.append(stream, data));
+      return this.fail();
+    }
+    const offset = server.append(stream, data);
+    if (this.loseAnswers > 0) {
+      this.loseAnswers -= 1;
+      return this.fail();
+    }
+    await process.gate();
+    return Ok(offset);
+  }
+
+  override async read(
+    stream: StreamName,
+    from: Offset,
+    waitMs: number,
+  ): Promise<Result<LogPage, LogFailure>> {
+    const { server, process } = this;
+    await server.timers.sleep(LATENCY_MS + server.slowMs);
+    const until = server.timers.now() + waitMs;
+    while (
+      !this.isAway() &&
+      server.getStream(stream).getHead() <= from &&
+      server.timers.now() < until
+    ) {
+      await server.waitForAppend(Math.min(500, until - server.timers.now()));
+    }
+    if (this.isAway()) {
+      return this.fail();
+    }
+    await process.gate();
+    const stored = server.getStream(stream);
+    const first = stored.getFirst();
+    if (from < first) {
+      return Err({ kind: 'trimmed', first });
+    }
+    return Ok({ first, head: stored.getHead(), records: stored.read(from, PAGE_RECORDS) });
+  }
+
+  private isAway(): boolean {
+    return this.cut || this.server.outage;
+  }
+
+  private async fail(): Promise<Result<never, LogFailure>> {
+    await this.server.timers.sleep(TIMEOUT_MS);
+    await this.process.gate();
+    return Err({ kind: 'unavailable', detail: 'simulated' });
+  }
+}
--- /dev/null
+++ b/tests/support/fakePeers.ts
@@ -0,0 +1,90 @@
+/** The network between simulated routers. */
+import type { VmId } from '../../src/types/ids.js';
+import { PeerClient, type PeerMethod, type PeerMethods } from '../../src/types/peers.js';
+import type { PeerHandlers } from '../../src/peers/peerRpc.js';
+import type { TimerService } from '../../src/core/timers.js';
+import type { PausableTimers } from './pausableTimers.js';
+
+const LATENCY_MS = 1;
+const TIMEOUT_MS = 400;
+
+/** A process that peers can reach. */
+export interface PeerNode {
+  readonly process: PausableTimers;
+  readonly handlers: PeerHandlers;
+  isAlive: boolean;
+}
+
+/** Which nodes there are and which pairs are cut. */
+export class FakeNetwork {
+  readonly nodes = new Map<string, PeerNode>();
+
+  readonly cuts = new Set<string>();
+
+  /** So many more answers are lost after the call took effect. */
+  loseAnswers = 0;
+
+  constructor(readonly timers: TimerService) {}
+
+  isCut(a: string, b: string): boolean {
+    return this.cuts.has(getPair(a, b));
+  }
+
+  setCut(a: string, b: string, cut: boolean): void {
+    if (cut) {
+      this.cuts.add(getPair(a, b));
+    } else {
+      this.cuts.delete(getPair(a, b));
+    }
+  }
+}
+
+/** One node's client. */
+export class FakePeerClient extends PeerClient {
+  constructor(
+    private readonly network: FakeNetwork,
+    private readonly self: string,
+    private readonly process: PausableTimers,
+  ) {
+    super();
+  }
+
+  override async call<Method extends PeerMethod>(
+    peer: VmId,
+    method: Method,
+    params: PeerMethods[Method]['params'],
+  ): Promise<PeerMethods[Method]['result']> {
+    const { network, self, process } = this;
+    const { timers } = network;
+    await timers.sleep(LATENCY_MS);
+    const node = network.nodes.get(peer);
+    const isReachable = node?.isAlive && !network.isCut(self, peer);
+    const answer = isReachable ? callNode(node, method, params) : undefined;
+    const isLost = network.loseAnswers > 0;
+    network.loseAnswers -= isLost ? 1 : 0;
+    const inTime = answer && !isLost && (await timers.isDoneWithin(answer, TIMEOUT_MS));
+    if (!inTime) {
+      await timers.sleep(TIMEOUT_MS);
+    }
+    await process.gate();
+    if (!inTime) {
+      throw new Error('simulated timeout');
+    }
+    return answer;
+  }
+}
+
+/** A paused node takes the call when it goes on, whether or not the caller still waits. */
+async function callNode<Method extends PeerMethod>(
+  node: PeerNode,
+  method: Method,
+  params: PeerMethods[Method]['params'],
+): Promise<PeerMethods[Method]['result']> {
+  await node.process.gate();
+  const message = JSON.parse(JSON.stringify(params)) as typeof params;
+  return JSON.parse(JSON.stringify(node.handlers[method](message)));
+}
+
+function getPair(a: string, b: string): string {
+  return a < b ? `${a} ${b}` : `${b} ${a}`;
+}
