--- a/tests/properties/interleaving.ts
+++ b/tests/properties/interleaving.ts
@@ -415,9 +415,7 @@
       await new Interleaving(interleaving).run(actions);
     },
   );
-  return fc.check(property, { numRuns: runs, seed, path, endOnFailure: !shrink }) as Promise<
-    fc.RunDetails<[Action[]]>
-  >;
+  return fc.check(property, { numRuns: runs, seed, path, endOnFailure: !shrink });
 }
 
 /** Describes a failed check: the error and the shortest steps to it. */
--- a/tests/support/simulation.ts
+++ b/tests/support/simulation.ts
@@ -307,7 +307,7 @@
       .then(() => router.handle(new Exchange(request, response, this.timers.now())))
       .then((result) => {
         if (result.err) {
-          response.error = createErrorBody(result.val as never).error;
+          response.error = createErrorBody(result.val).error;
         }
         response.finished = true;
       })
