--- a/bench/budgets.ts
+++ b/bench/budgets.ts
@@ -91,7 +91,9 @@
     return { tokens, reached: true };
   }
 
-  override async giveTokens(): Promise<void> {}
+  override giveTokens(): Promise<void> {
+    return Promise.resolve();
+  }
 }
 
 /** Runs real shards. */
