Carry more streams a process, order the queue by worth, and let allotments follow a surge

Change: text events of a first attempt pass on unread and are parsed only if the answer is run again; bodies are read by events; a limit shrinks only above 250 ms. The queue orders by worth a token, less for workspaces above their part, and gives a tenth of the tokens to the oldest. Allotments follow the larger of a short and a long average. Outcomes are stored before an order's answer goes out. What routers tell each other has a controller of its own.

Ruled out: aging by deadline (still lets any old review pass every quote); one time constant.

--- a/src/controllers/budgetAllotment.ts
+++ b/src/controllers/budgetAllotment.ts
@@ -19,6 +19,8 @@
 
 /** How many of the largest recent holds the allotment keeps in reserve. */
 const RESERVED_HOLDS = 2;
+/** Time constant of the rate that follows a surge, in milliseconds. */
+const RECENT_MS = 30_000;
 /** How long a need that went unmet is refused at once, in milliseconds. */
 const STARVED_MS = 1_000;
 
@@ -43,7 +45,10 @@
 
   readonly waiters: HoldWaiter[] = [];
 
-  private readonly rate: SpendRate;
+  /** What is spent now, and what was spent over the horizon: the first rises fast, the second stays. */
+  private readonly recentRate = new SpendRate(RECENT_MS);
+
+  private readonly horizonRate: SpendRate;
 
   /** Whether any peer answered when peers were last asked for tokens. */
   reachedPeers = false;
@@ -66,7 +71,7 @@
     readonly budget: BudgetId,
     private readonly horizonMs: number,
   ) {
-    this.rate = new SpendRate(horizonMs);
+    this.horizonRate = new SpendRate(Math.max(horizonMs, RECENT_MS));
   }
 
   /** Takes a hold where the free tokens cover it and nobody waits before it. */
@@ -86,7 +91,8 @@
     this.held -= need;
     this.spent += charged;
     this.free += need - charged;
-    this.rate.add(charged, nowMs);
+    this.recentRate.add(charged, nowMs);
+    this.horizonRate.add(charged, nowMs);
     this.serveWaiters();
   }
 
@@ -105,7 +111,11 @@
 
   /** Returns the free tokens that the horizon calls for. */
   getTarget(nowMs: number): number {
-    const spending = (this.rate.getTokensPerSecond(nowMs) * this.horizonMs) / 1_000;
+    const tokensPerSecond = Math.max(
+      this.recentRate.getTokensPerSecond(nowMs),
+      this.horizonRate.getTokensPerSecond(nowMs),
+    );
+    const spending = (tokensPerSecond * this.horizonMs) / 1_000;
     return Math.ceil(spending + RESERVED_HOLDS * this.largestHold);
   }
 
--- a/src/platform/httpEndpointClient.ts
+++ b/src/platform/httpEndpointClient.ts
@@ -9,6 +9,7 @@
   type EndpointFailure,
 } from '../types/endpoints.js';
 import { getErrorMessage } from '../core/utilities.js';
+import { BodyReader } from './bodyReader.js';
 
 /** Options of the client. Times are in milliseconds. */
 export interface HttpEndpointClientOptions {
@@ -56,7 +57,11 @@
       return Ok({
         status: response.statusCode,
         headers: response.headers as Record<string, string | undefined>,
-        body: readBody(response.body, () => call.signal.removeEventListener('abort', abort)),
+        body: new BodyReader(
+          response.body,
+          (error) => new EndpointError(createFailure(error)),
+          () => call.signal.removeEventListener('abort', abort),
+        ),
         abort,
       });
     } catch (error) {
@@ -71,19 +76,6 @@
   }
 }
 
-async function* readBody(
-  body: AsyncIterable<Uint8Array>,
-  onEnd: () => void,
-): AsyncGenerator<Uint8Array> {
-  try {
-    yield* body;
-  } catch (error) {
-    throw new EndpointError(createFailure(error));
-  } finally {
-    onEnd();
-  }
-}
-
 function createFailure(error: unknown): EndpointFailure {
   const detail = getErrorMessage(error);
   const code = (error as { code?: string }).code ?? '';
--- a/src/relay/attempt.ts
+++ b/src/relay/attempt.ts
@@ -44,6 +44,7 @@
 export const LEAVING_HEADER = 'x-endpoint-leaving';
 
 const REJECTED_COME_BACK_MS = 1_000;
+const OUTCOME_WAIT_MS = 500;
 
 /** Returns the result for a call that failed, and tells the endpoint's health. */
 export function failAttempt(attempt: Attempt, failure: EndpointFailure): AttemptResult {
@@ -97,6 +98,14 @@
   return undefined;
 }
 
+/**
+ * Waits for the outcome of a claimed call to be stored, so that a repeat elsewhere finds the answer.
+ * Bounded: the caller's own answer does not depend on it.
+ */
+export async function waitForOutcome({ timers }: Attempt, kept: Promise<void>): Promise<void> {
+  await timers.isDoneWithin(kept, OUTCOME_WAIT_MS);
+}
+
 /** Creates the result of a failed attempt. */
 export function createFailed(
   reason: RetryReason,
--- a/src/relay/chatStream.ts
+++ b/src/relay/chatStream.ts
@@ -26,13 +26,13 @@
   | { readonly kind: 'error'; readonly detail: string };
 
 const DONE = '[DONE]';
+/** What makes an event more than a piece of text; others are passed on as they came. */
+const SPECIAL_EVENT = /"finish_reason"\s*:\s*"|"usage"\s*:\s*\{|"tool_calls"|"error"/;
 /** Bytes of prompt counted as one token where the engine did not say. */
 const BYTES_PER_TOKEN = 4;
 
 /** Options of a chat stream. */
 export interface ChatStreamOptions {
-  /** The id of the answer towards the caller. */
-  readonly id: string;
   readonly promptBytes: number;
 }
 
@@ -41,13 +41,24 @@
  * is passed over while it repeats what the caller has, and given up where it differs.
  */
 export class ChatStream {
-  private delivered = '';
+  /** Events that were passed on unread; their text is taken out only when an answer is run again. */
+  private unread: string[] = [];
 
-  /** How much of `delivered` the current attempt has repeated. */
+  private deliveredText = '';
+
+  /** How much of the delivered text the current attempt has repeated. */
   private repeated = 0;
 
   private attemptId: string | undefined;
 
+  /** The current attempt's id as it stands in each of its events. */
+  private idMark = '';
+
+  /** The id of the answer towards the caller: that of its first event. */
+  private answerId: string | undefined;
+
+  private isFirstAttempt = true;
+
   private tokens = 0;
 
   private reported: Usage | undefined;
@@ -63,6 +74,7 @@
 
   /** Starts another attempt. */
   startAttempt(): void {
+    this.isFirstAttempt = !this.started;
     this.repeated = 0;
     this.attemptId = undefined;
   }
@@ -101,6 +113,11 @@
     if (data === DONE) {
       return this.isFinished() ? { kind: 'end' } : { kind: 'error', detail: 'ended too early' };
     }
+    if (this.isPlainText(data)) {
+      this.unread.push(data);
+      this.tokens += 1;
+      return { kind: 'forward', data };
+    }
     const chunk = tryParse(data);
     if (!chunk || chunk.error !== undefined) {
       return { kind: 'error', detail: chunk ? JSON.stringify(chunk.error) : 'not valid JSON' };
@@ -117,13 +134,39 @@
     return this.handleChoice(chunk);
   }
 
+  /** Returns the id of the answer, once its first event came. */
+  getId(): string | undefined {
+    return this.answerId;
+  }
+
+  /** Returns whether an event of a first attempt is a piece of text and nothing else. */
+  private isPlainText(data: string): boolean {
+    return (
+      this.isFirstAttempt &&
+      this.started &&
+      this.finish === undefined &&
+      data.includes(this.idMark) &&
+      !SPECIAL_EVENT.test(data)
+    );
+  }
+
+  /** Returns the text that the caller has. */
+  private getDelivered(): string {
+    if (this.unread.length > 0) {
+      const contents = this.unread.map((data) => getContent(tryParse(data)));
+      this.deliveredText += contents.join('');
+      this.unread = [];
+    }
+    return this.deliveredText;
+  }
+
   private handleChoice(chunk: ChatChunk): ChatEvent {
     const [choice] = chunk.choices ?? [];
     if (!choice) {
       return { kind: 'skip' };
     }
     if (choice.finish_reason) {
-      if (this.repeated < this.delivered.length) {
+      if (!this.isFirstAttempt && this.repeated < this.getDelivered().length) {
         return { kind: 'diverged' };
       }
       this.finish = this.createEvent(chunk);
@@ -132,36 +175,52 @@
     if (choice.delta?.tool_calls !== undefined) {
       this.opaque = true;
     }
-    return this.handleContent(chunk, choice.delta?.content ?? '');
+    const content = getContent(chunk);
+    return this.isFirstAttempt ? this.deliver(chunk, content) : this.repeat(chunk, content);
+  }
+
+  private deliver(chunk: ChatChunk, content: string): ChatEvent {
+    this.started = true;
+    this.tokens += content.length > 0 ? 1 : 0;
+    this.deliveredText = this.getDelivered() + content;
+    return { kind: 'forward', data: this.createEvent(chunk) };
   }
 
-  private handleContent(chunk: ChatChunk, content: string): ChatEvent {
-    const known = this.delivered.slice(this.repeated, this.repeated + content.length);
+  /** Passes over what the caller has, and passes on what comes after it. */
+  private repeat(chunk: ChatChunk, content: string): ChatEvent {
+    const known = this.getDelivered().slice(this.repeated, this.repeated + content.length);
     if (!content.startsWith(known)) {
       return { kind: 'diverged' };
     }
     this.repeated += content.length;
-    if (this.started && known.length === content.length && !this.opaque) {
+    if (known.length === content.length) {
       return { kind: 'skip' };
     }
-    this.started = true;
-    this.tokens += content.length > 0 ? 1 : 0;
-    this.delivered += content.slice(known.length);
-    const data = known.length > 0 ? replaceContent(chunk, content.slice(known.length)) : chunk;
-    return { kind: 'forward', data: this.createEvent(data) };
+    this.tokens += 1;
+    const added = content.slice(known.length);
+    this.deliveredText += added;
+    return { kind: 'forward', data: this.createEvent(replaceContent(chunk, added)) };
   }
 
   /** Every event of one attempt carries the id of its first one. */
   private isOwn(chunk: ChatChunk): boolean {
-    this.attemptId ??= chunk.id;
+    if (this.attemptId === undefined && chunk.id !== undefined) {
+      this.attemptId = chunk.id;
+      this.idMark = JSON.stringify(chunk.id);
+      this.answerId ??= chunk.id;
+    }
     return chunk.id === this.attemptId;
   }
 
   private createEvent(chunk: ChatChunk): string {
-    return JSON.stringify({ ...chunk, id: this.options.id });
+    return JSON.stringify({ ...chunk, id: this.answerId });
   }
 }
 
+function getContent(chunk: ChatChunk | undefined): string {
+  return chunk?.choices?.[0]?.delta?.content ?? '';
+}
+
 function replaceContent(chunk: ChatChunk, content: string): ChatChunk {
   const choices = chunk.choices?.map((choice) => ({
     ...choice,
--- a/src/relay/plainCall.ts
+++ b/src/relay/plainCall.ts
@@ -6,6 +6,7 @@
   checkAnswerHead,
   createFailed,
   failAttempt,
+  waitForOutcome,
   type Attempt,
   type AttemptResult,
 } from './attempt.js';
@@ -70,8 +71,9 @@
   slot.release({ kind: 'success', latencyMs: timers.now() - startedAt });
   const contentType = answer.headers['content-type'] ?? DEFAULT_CONTENT_TYPE;
   const { status } = answer;
-  options.keepOutcome({ status, contentType, body: body.val });
+  const kept = options.keepOutcome({ status, contentType, body: body.val });
   await exchange.storeBill('whole');
+  await waitForOutcome(attempt, kept);
   const headers = { 'content-type': contentType, 'x-request-id': exchange.id };
   exchange.response.send(status, headers, body.val);
   return { kind: 'done' };
--- a/src/relay/plainChat.ts
+++ b/src/relay/plainChat.ts
@@ -6,6 +6,7 @@
   checkAnswerHead,
   createFailed,
   failAttempt,
+  waitForOutcome,
   type Attempt,
   type AttemptResult,
 } from './attempt.js';
@@ -74,8 +75,9 @@
   };
   const body = JSON.stringify({ ...data, id: `chatcmpl-${exchange.id}` });
   const contentType = 'application/json';
-  options.keepOutcome({ status: 200, contentType, body: Buffer.from(body) });
+  const kept = options.keepOutcome({ status: 200, contentType, body: Buffer.from(body) });
   await exchange.storeBill('whole');
+  await waitForOutcome(attempt, kept);
   const headers = { 'content-type': contentType, 'x-request-id': exchange.id };
   exchange.response.send(200, headers, body);
 }
--- a/src/relay/streamedChat.ts
+++ b/src/relay/streamedChat.ts
@@ -1,4 +1,5 @@
 /** Relays a streamed chat answer. */
+import { StringDecoder } from 'node:string_decoder';
 import { createParser } from 'eventsource-parser';
 import { EndpointError, type EndpointAnswer, type EndpointCall } from '../types/endpoints.js';
 import type { ChatBody, Exchange } from '../types/exchange.js';
@@ -42,10 +43,7 @@
     this.exchange = exchange;
     this.chat = chat;
     this.created = Math.floor(exchange.arrivedAt / 1_000);
-    this.stream = new ChatStream({
-      id: `chatcmpl-${exchange.id}`,
-      promptBytes: exchange.request.body.length,
-    });
+    this.stream = new ChatStream({ promptBytes: exchange.request.body.length });
   }
 
   /** Returns whether another attempt could make the answer whole. */
@@ -58,13 +56,14 @@
     this.stream.startAttempt();
     const fields = { ...this.chat.fields, stream: true, stream_options: { include_usage: true } };
     const call: EndpointCall = getChatCall(attempt, { ...fields, max_tokens: this.chat.maxTokens });
+    const startedAt = attempt.timers.now();
     const sent = await attempt.client.send(call);
     if (sent.err) {
       return failAttempt(attempt, sent.val);
     }
     const answer = sent.val;
     const early = checkAnswerHead(attempt, answer) ?? (await passEndpointError(attempt, answer));
-    return early ?? this.relay(attempt, answer);
+    return early ?? this.relay(attempt, answer, startedAt);
   }
 
   /** Ends an answer that can't be made whole: the caller is told, in the stream if it has begun. */
@@ -80,15 +79,18 @@
     return cut;
   }
 
-  private async relay(attempt: Attempt, answer: EndpointAnswer): Promise<AttemptResult> {
-    const startedAt = attempt.timers.now();
+  private async relay(
+    attempt: Attempt,
+    answer: EndpointAnswer,
+    startedAt: number,
+  ): Promise<AttemptResult> {
     const events: string[] = [];
     const parser = createParser({ onEvent: ({ data }) => events.push(data) });
-    const decoder = new TextDecoder();
+    const decoder = new StringDecoder('utf8');
     let firstTokenMs: number | undefined;
     try {
       for await (const bytes of answer.body) {
-        parser.feed(decoder.decode(bytes, { stream: true }));
+        parser.feed(decoder.write(bytes));
         firstTokenMs ??= attempt.timers.now() - startedAt;
         const result = await this.handleEvents(attempt, answer, events.splice(0));
         if (result?.kind === 'done') {
@@ -171,7 +173,7 @@
   private createUsageEvent(): string {
     const { promptTokens, completionTokens } = this.stream.getUsage();
     return JSON.stringify({
-      id: `chatcmpl-${this.exchange.id}`,
+      id: this.stream.getId(),
       object: 'chat.completion.chunk',
       created: this.created,
       model: this.chat.model,
--- a/src/router.ts
+++ b/src/router.ts
@@ -1,10 +1,10 @@
 /** A router: its controllers, its filter chain and its server, wired together. */
 import { randomBytes } from 'node:crypto';
-import type { BudgetId, Incarnation, RulesVersion, StreamName, VmId } from './types/ids.js';
+import type { BudgetId, Incarnation, StreamName, VmId } from './types/ids.js';
 import { brandId } from './types/ids.js';
 import type { EndpointClient } from './types/endpoints.js';
 import type { Exchange, Filter, FilterResult } from './types/exchange.js';
-import type { PeerClient, ProbeMessage } from './types/peers.js';
+import type { PeerClient } from './types/peers.js';
 import type { LogService, VmList } from './types/platform.js';
 import { createRefusal, type Refusal } from './core/codes.js';
 import type { Logger } from './core/logging.js';
@@ -24,6 +24,7 @@
 import { ClaimController } from './controllers/claimController.js';
 import { EndpointController } from './controllers/endpointController.js';
 import { MembershipController } from './controllers/membershipController.js';
+import { PeerController } from './controllers/peerController.js';
 import { RulesController, type RulesInForce } from './controllers/rulesController.js';
 import { SuspectController } from './controllers/suspectController.js';
 import { TransferController } from './controllers/transferController.js';
@@ -39,7 +40,7 @@
 import { Relay } from './filters/relay.js';
 import { Validate } from './filters/validate.js';
 import { StreamWriter } from './log/streamWriter.js';
-import { PeerServer, type PeerHandlers } from './peers/peerRpc.js';
+import { PeerServer } from './peers/peerRpc.js';
 import { RetryBudget } from './routing/retryBudget.js';
 import { getAllowKey } from './rules/checker.js';
 import { CallerServer } from './server/callerServer.js';
@@ -89,6 +90,8 @@
 
   readonly server: CallerServer;
 
+  readonly peers: PeerController;
+
   private readonly bills: StreamWriter;
 
   private readonly rulesWriter: StreamWriter;
@@ -111,11 +114,6 @@
 
   private vmPoll: Unsubscribe = () => {};
 
-  /** Whether a peer is being asked for its rules. */
-  private isLearning = false;
-
-  private bootstrap: Unsubscribe = () => {};
-
   /** Whether the state of budgets and claims was once proven; a log that goes away changes nothing. */
   private wasProven = false;
 
@@ -149,8 +147,18 @@
     this.rulesWriter = this.createWriter(RULES_STREAM);
     this.checkpoints = this.createCheckpoints();
     this.filters = this.createFilters();
+    this.peers = new PeerController({
+      timers,
+      vm: this.vm,
+      client: this.peerClient,
+      membership: this.membership,
+      rules: this.rules,
+      endpoints: this.endpoints,
+      suspects: this.suspects,
+      transfers: this.transfers,
+      intervalMs: settings.peers.probeIntervalMs,
+    });
     this.server = this.createServer();
-    this.suspects.onDeath = () => this.probeEveryPeer();
   }
 
   /** Starts everything; resolves with the port. */
@@ -171,9 +179,7 @@
       this.pollVms().catch(() => {});
     });
     this.pollVms().catch(() => {});
-    this.bootstrap = timers.subscribeEvery(settings.peers.probeIntervalMs, () => {
-      this.bootstrapFromPeers().catch(() => {});
-    });
+    this.peers.start();
   }
 
   /**
@@ -194,7 +200,7 @@
   /** Stops at once, as a crash would, but leaves no timers. */
   halt(): void {
     this.vmPoll();
-    this.bootstrap();
+    this.peers.stop();
     this.rules.stop();
     this.budgets.stop();
     this.claims.stop();
@@ -272,8 +278,8 @@
       probeCount,
       client: this.peerClient,
       random: this.options.random,
-      createProbe: () => this.createProbe(),
-      onProbe: (message) => this.onProbe(message),
+      createProbe: () => this.peers.createProbe(),
+      onProbe: (message) => this.peers.onProbe(message),
     });
   }
 
@@ -395,7 +401,7 @@
 
   private createServer(): CallerServer {
     const { settings, timers, metrics, logger } = this.options;
-    const peerServer = new PeerServer(settings.peers.sharedKey, this.createPeerHandlers());
+    const peerServer = new PeerServer(settings.peers.sharedKey, this.peers.createHandlers());
     return new CallerServer({
       settings,
       timers,
@@ -410,75 +416,6 @@
     });
   }
 
-  /** Returns what answers peers. */
-  createPeerHandlers(): PeerHandlers {
-    return {
-      'peer.probe': (message) => {
-        this.onProbe(message);
-        return this.createProbe();
-      },
-      'budget.transfer': (request) => this.transfers.lend(request),
-      'budget.give': (request) => this.transfers.receive(request),
-      'rules.get': ({ after }) => this.rules.createAnswer(after),
-    };
-  }
-
-  private createProbe(): ProbeMessage {
-    return {
-      vm: this.vm,
-      rulesVersion: this.rules.getVersion(),
-      leaving: this.endpoints.getLeaving(),
-      suspects: this.suspects.getSuspects(),
-    };
-  }
-
-  private onProbe(message: ProbeMessage): void {
-    this.suspects.merge(message.suspects);
-    const known = new Set(this.endpoints.getLeaving());
-    message.leaving.filter((vm) => !known.has(vm)).forEach((vm) => this.endpoints.markLeaving(vm));
-    const isBehind = message.rulesVersion > this.rules.getVersion();
-    if (isBehind && this.rules.getInForce() && !this.isLearning) {
-      this.learnRules(message.vm).catch(() => {});
-    }
-  }
-
-  private async learnRules(peer: VmId): Promise<void> {
-    this.isLearning = true;
-    try {
-      const after = this.rules.getVersion();
-      this.rules.learn(await this.peerClient.call(peer, 'rules.get', { after }));
-    } finally {
-      this.isLearning = false;
-    }
-  }
-
-  /**
-   * A new process that can't read the log asks every peer before it takes any version, so that it never
-   * serves an older one than it could have learned.
-   */
-  private async bootstrapFromPeers(): Promise<void> {
-    if (this.rules.getInForce() || this.rules.reader.getFailingMs() === 0 || this.isLearning) {
-      return;
-    }
-    this.isLearning = true;
-    const after = 0 as RulesVersion;
-    const answers = await Promise.allSettled(
-      this.membership
-        .getListedPeers()
-        .map((peer) => this.peerClient.call(peer, 'rules.get', { after })),
-    );
-    this.isLearning = false;
-    this.rules.learnNewest(
-      answers.flatMap((answer) => (answer.status === 'fulfilled' ? [answer.value] : [])),
-    );
-  }
-
-  private probeEveryPeer(): void {
-    this.membership.getPeers().forEach((peer) => {
-      this.membership.probe(peer).catch(() => {});
-    });
-  }
-
   private listModels(authorization: string | undefined): readonly string[] | Refusal {
     const rules: RulesInForce | undefined = this.rules.getInForce();
     if (!rules) {
--- a/src/routing/admissionQueue.ts
+++ b/src/routing/admissionQueue.ts
@@ -1,6 +1,8 @@
 /**
- * The queue of one service: bounded, ordered by priority, then fairness between workspaces, then
- * worth a token. What can't start before its deadline is refused at once, with a time to come back.
+ * The queue of one service: bounded, ordered by priority, then by worth a token, less for workspaces
+ * that run more than their part. A share of the capacity goes to what has waited longest, so that
+ * nothing waits for ever. What can't start before its deadline is refused at once, with a time to
+ * come back.
  */
 import type { WorkspaceId } from '../types/ids.js';
 import type { TimerService, Unsubscribe } from '../core/timers.js';
@@ -28,15 +30,14 @@
   readonly getCapacity: () => number;
   /** Most requests that wait. Default 512. */
   readonly length?: number;
-  /** Waiting this long raises a request by one priority, in milliseconds. Default 2,000. */
-  readonly agingMs?: number;
+  /** The share of the tokens that goes to the request that has waited longest. Default 0.1. */
+  readonly oldestShare?: number;
   /** A number in [0, 1), to spread the times to come back. */
   readonly random?: () => number;
 }
 
 interface Waiter<Slot> {
   readonly request: QueuedRequest;
-  readonly since: number;
   readonly order: number;
   finish: (slot: Slot | undefined, refusal?: Refusal) => void;
 }
@@ -58,6 +59,9 @@
 
   private order = 0;
 
+  /** Tokens that the oldest requests have earned of what was started. */
+  private oldestCredit = 0;
+
   private serviceMs = FIRST_SERVICE_MS;
 
   constructor(private readonly options: AdmissionQueueOptions<Slot>) {}
@@ -108,6 +112,7 @@
         return;
       }
       this.countRunning(best.request.workspace, 1);
+      this.countCredit(best);
       best.finish(slot);
     }
   }
@@ -119,7 +124,7 @@
 
   private createWaiter(request: QueuedRequest): Waiter<Slot> {
     this.order += 1;
-    return { request, since: this.options.timers.now(), order: this.order, finish: () => {} };
+    return { request, order: this.order, finish: () => {} };
   }
 
   private wait(waiter: Waiter<Slot>): Promise<Admission<Slot>> {
@@ -187,7 +192,12 @@
     return true;
   }
 
+  /** Returns the request to start next: the oldest once it has earned its turn, else the best. */
   private getBest(): Waiter<Slot> | undefined {
+    const [oldest] = this.waiters;
+    if (oldest && oldest.request.tokens <= this.oldestCredit) {
+      return oldest;
+    }
     let best: Waiter<Slot> | undefined;
     this.waiters.forEach((waiter) => {
       best = !best || this.compare(waiter, best) < 0 ? waiter : best;
@@ -195,22 +205,32 @@
     return best;
   }
 
+  /** Each start earns the oldest its share; the oldest pays for its own start. */
+  private countCredit(started: Waiter<Slot>): void {
+    const { oldestShare = 0.1 } = this.options;
+    const { tokens } = started.request;
+    const isPaid = tokens <= this.oldestCredit;
+    this.oldestCredit = isPaid
+      ? this.oldestCredit - tokens
+      : this.oldestCredit + tokens * oldestShare;
+    if (this.waiters.size <= 1) {
+      this.oldestCredit = 0;
+    }
+  }
+
   private compare(a: Waiter<Slot>, b: Waiter<Slot>): number {
     return (
-      this.getEffectivePriority(b) - this.getEffectivePriority(a) ||
-      this.getRunning(a) - this.getRunning(b) ||
-      getWorthPerToken(b.request) - getWorthPerToken(a.request) ||
+      b.request.priority - a.request.priority ||
+      this.getValue(b.request) - this.getValue(a.request) ||
       a.order - b.order
     );
   }
 
-  private getEffectivePriority(waiter: Waiter<Slot>): number {
-    const { timers, agingMs = 2_000 } = this.options;
-    return waiter.request.priority + Math.floor((timers.now() - waiter.since) / agingMs);
-  }
-
-  private getRunning(waiter: Waiter<Slot>): number {
-    return this.running.get(waiter.request.workspace) ?? 0;
+  /** Returns the worth a token, divided by how many times its part the workspace runs already. */
+  private getValue({ worth, tokens, workspace }: QueuedRequest): number {
+    const part = this.getCapacity() / Math.max(1, this.running.size);
+    const excess = Math.max(1, (this.running.get(workspace) ?? 0) / part);
+    return worth / Math.max(1, tokens) / excess;
   }
 
   private countRunning(workspace: WorkspaceId, change: number): void {
@@ -222,7 +242,3 @@
     }
   }
 }
-
-function getWorthPerToken(request: QueuedRequest): number {
-  return request.worth / Math.max(1, request.tokens);
-}
--- a/src/routing/concurrencyLimit.ts
+++ b/src/routing/concurrencyLimit.ts
@@ -12,6 +12,8 @@
 
 const GROWTH = 1;
 const SHRINK_FACTOR = 0.7;
+/** Answers quicker than this are never slow: below it the router's own work is what is measured. */
+const SLOW_FLOOR_MS = 250;
 /** The best latency is forgotten by this share a sample, so that it can rise again. */
 const BEST_DRIFT = 1.01;
 
@@ -36,7 +38,7 @@
   recordLatency(latencyMs: number, nowMs: number): void {
     const { slowFactor = 4, max } = this.options;
     this.bestMs = Math.min(latencyMs, this.bestMs * BEST_DRIFT);
-    if (latencyMs > this.bestMs * slowFactor) {
+    if (latencyMs > Math.max(this.bestMs * slowFactor, SLOW_FLOOR_MS)) {
       this.shrink(nowMs);
     } else {
       this.limit = Math.min(max, this.limit + GROWTH / this.limit);
