--- a/src/platform/httpVmList.ts
+++ b/src/platform/httpVmList.ts
@@ -1,4 +1,7 @@
-/** The platform's vm list over HTTP: `GET /vms` answers `{"vms":[...]}`. */
+/**
+ * The platform's vm list over HTTP: `GET /vms` answers `{"vms":[...]}` with an `ETag`, and 304 where
+ * `If-None-Match` carries the current one.
+ */
 import { Agent, request } from 'undici';
 import { Err, Ok, type Result } from '../core/results.js';
 import { z } from 'zod';
@@ -28,6 +31,11 @@
 export class HttpVmList extends VmList {
   private readonly agent = new Agent({ pipelining: 1 });
 
+  private etag: string | undefined;
+
+  /** The list that the tag belongs to; the same array is returned while it stands. */
+  private known: readonly Vm[] = [];
+
   constructor(private readonly options: HttpVmListOptions) {
     super();
   }
@@ -39,9 +47,19 @@
         dispatcher: this.agent,
         headersTimeout: requestTimeoutMs,
         bodyTimeout: requestTimeoutMs,
+        headers: this.etag === undefined ? {} : { 'if-none-match': this.etag },
       });
+      if (response.statusCode === 304) {
+        await response.body.dump();
+        return Ok(this.known);
+      }
       const answer = answerSchema.safeParse(await response.body.json());
-      return answer.success ? Ok(answer.data.vms as unknown as Vm[]) : Err(answer.error.message);
+      if (!answer.success) {
+        return Err(answer.error.message);
+      }
+      this.known = answer.data.vms as unknown as Vm[];
+      this.etag = response.headers.etag?.toString();
+      return Ok(this.known);
     } catch (error) {
       return Err(getErrorMessage(error));
     }
--- a/src/router.ts
+++ b/src/router.ts
@@ -5,7 +5,7 @@
 import type { EndpointClient } from './types/endpoints.js';
 import type { Exchange, Filter, FilterResult } from './types/exchange.js';
 import type { PeerClient } from './types/peers.js';
-import type { LogService, VmList } from './types/platform.js';
+import type { LogService, Vm, VmList } from './types/platform.js';
 import { createRefusal, type Refusal } from './core/codes.js';
 import type { Logger } from './core/logging.js';
 import type { Metrics } from './core/metrics.js';
@@ -112,6 +112,9 @@
 
   private readonly peerClient: PeerClient;
 
+  /** The list last taken over; the same array means that nothing has changed. */
+  private listedVms: readonly Vm[] | undefined;
+
   private vmPoll: Unsubscribe = () => {};
 
   /** Whether the state of budgets and claims was once proven; a log that goes away changes nothing. */
@@ -244,7 +247,8 @@
 
   private async pollVms(): Promise<void> {
     const listed = await this.options.vmList.list();
-    if (listed.ok) {
+    if (listed.ok && listed.val !== this.listedVms) {
+      this.listedVms = listed.val;
       this.membership.setVms(listed.val);
       this.endpoints.setVms(listed.val);
     }
--- a/standins/vmListStandin.ts
+++ b/standins/vmListStandin.ts
@@ -1,4 +1,5 @@
 /** A stand-in for the platform's vm list, which shows changes only after a lag. */
+import { createHash } from 'node:crypto';
 import type { IncomingMessage, ServerResponse } from 'node:http';
 import { HttpStandin, readAll, sendJson } from './httpStandin.js';
 
@@ -40,7 +41,14 @@
       sendJson(response, 503, { error: 'outage' });
       return;
     }
-    sendJson(response, 200, { vms: this.getShown() });
+    const shown = { vms: this.getShown() };
+    const etag = `"${createHash('sha256').update(JSON.stringify(shown)).digest('hex')}"`;
+    if (message.headers['if-none-match'] === etag) {
+      response.writeHead(304, { etag });
+      response.end();
+      return;
+    }
+    sendJson(response, 200, shown, { etag });
   }
 
   private getShown(): unknown[] {
