Notice a state restored from a checkpoint that came after the reader had caught up

Cause: a new router that reached the head without a checkpoint stayed without rules in force after a living one wrote it: the reader restored its state and told nobody, since no batch had been folded. Found by a new test (no proven rules after 170 s), which passes now.

Ruled out: that no checkpoint was written (a trace shows it at 120 s, and the reader ready).

Change: restoring counts as a change. Tests of single promises: rules through a peer, a new router in an outage, no membership at all, a graceful stop, lost checkpoints, leaving, crashing requests.

--- a/src/controllers/claimController.ts
+++ b/src/controllers/claimController.ts
@@ -7,6 +7,7 @@
 import { ClaimFold, type Claim, type Outcome } from '../folds/claimFold.js';
 import { StreamReader } from '../log/streamReader.js';
 import { StreamWriter } from '../log/streamWriter.js';
+import { LOG_AWAY_MS } from './logTokens.js';
 
 /** Options of the claim controller. Times are in milliseconds. */
 export interface ClaimControllerOptions {
@@ -32,7 +33,6 @@
 /** An answer to keep for repeats. */
 export type KeptAnswer = Omit<Outcome, 'kept'>;
 
-const LOG_AWAY_MS = 300;
 const LOG_AWAY_COME_BACK_MS = 5_000;
 
 /** This process's part in one claim stream. */
--- /dev/null
+++ b/src/filters/createFilters.ts
@@ -0,0 +1,79 @@
+/** The chain in its order. */
+import type { EndpointClient } from '../types/endpoints.js';
+import type { Filter } from '../types/exchange.js';
+import type { Metrics } from '../core/metrics.js';
+import type { Settings } from '../core/settings.js';
+import type { TimerService } from '../core/timers.js';
+import type { BudgetController } from '../controllers/budgetController.js';
+import type { ClaimController } from '../controllers/claimController.js';
+import type { EndpointController } from '../controllers/endpointController.js';
+import { LOG_AWAY_MS } from '../controllers/logTokens.js';
+import type { RulesController } from '../controllers/rulesController.js';
+import type { SuspectController } from '../controllers/suspectController.js';
+import type { StreamWriter } from '../log/streamWriter.js';
+import { RetryBudget } from '../routing/retryBudget.js';
+import { Admit, type SlotQueues } from './admit.js';
+import { Authenticate } from './authenticate.js';
+import { Bill } from './bill.js';
+import { ClaimCall } from './claim.js';
+import { Deduplicate } from './deduplicate.js';
+import { HoldBudget } from './holdBudget.js';
+import { Identify } from './identify.js';
+import { MatchRule } from './matchRule.js';
+import { Relay } from './relay.js';
+import { Validate } from './validate.js';
+
+/** What the filters work with. */
+export interface FilterParts {
+  readonly settings: Settings;
+  readonly timers: TimerService;
+  readonly metrics: Metrics;
+  readonly endpointClient: EndpointClient;
+  readonly rules: RulesController;
+  readonly budgets: BudgetController;
+  readonly claims: ClaimController;
+  readonly bills: StreamWriter;
+  readonly endpoints: EndpointController;
+  readonly queues: SlotQueues;
+  readonly suspects: SuspectController;
+}
+
+/**
+ * Creates the filters of a router, first to last. The hold comes before the slot, so that a request that
+ * waits for tokens keeps no slot.
+ *
+ * @example
+ * runChain({ filters: createFilters(parts), timers, metrics }, exchange);
+ */
+export function createFilters(parts: FilterParts): Filter[] {
+  const { settings, timers, metrics, endpointClient, rules, budgets, bills } = parts;
+  const { claims, endpoints, queues, suspects } = parts;
+  const retries = new RetryBudget({ share: settings.endpoints.retryPercent / 100 });
+  return [
+    new Identify({ timers, ...settings.limits }),
+    new Authenticate({ getRules: () => rules.getInForce() }),
+    new Validate(settings.limits),
+    new MatchRule(),
+    new Deduplicate({ suspects }),
+    new Admit(endpoints),
+    new HoldBudget({ hold: (budget, tokens) => budgets.hold(budget, tokens) }),
+    new Bill({
+      timers,
+      metrics,
+      append: (bill) => bills.append(bill),
+      ...settings.billing,
+      isLogAway: () => bills.getFailingMs() > LOG_AWAY_MS,
+    }),
+    new ClaimCall({ timers, claims }),
+    new Relay({
+      timers,
+      metrics,
+      client: endpointClient,
+      endpoints,
+      queues,
+      claims,
+      suspects,
+      retries,
+    }),
+  ];
+}
--- a/src/log/streamReader.ts
+++ b/src/log/streamReader.ts
@@ -157,6 +157,7 @@
 
   private foldPage(page: LogPage): void {
     const batches: Batch[] = [];
+    const wasProven = this.proven;
     page.records.forEach((record) => {
       const batch = this.foldRecord(record);
       if (batch) {
@@ -164,7 +165,8 @@
       }
     });
     const reachedHead = this.next >= page.head;
-    const changed = batches.length > 0 || (reachedHead && !this.caughtUp);
+    const isRestored = this.proven && !wasProven;
+    const changed = batches.length > 0 || isRestored || (reachedHead && !this.caughtUp);
     this.caughtUp ||= reachedHead;
     if (changed) {
       this.options.onBatches?.(batches);
--- a/src/router.ts
+++ b/src/router.ts
@@ -28,20 +28,11 @@
 import { RulesController, type RulesInForce } from './controllers/rulesController.js';
 import { SuspectController } from './controllers/suspectController.js';
 import { TransferController } from './controllers/transferController.js';
-import { Admit, SlotQueues } from './filters/admit.js';
-import { Authenticate } from './filters/authenticate.js';
-import { Bill } from './filters/bill.js';
+import { SlotQueues } from './filters/admit.js';
 import { runChain } from './filters/chain.js';
-import { ClaimCall } from './filters/claim.js';
-import { Deduplicate } from './filters/deduplicate.js';
-import { HoldBudget } from './filters/holdBudget.js';
-import { Identify } from './filters/identify.js';
-import { MatchRule } from './filters/matchRule.js';
-import { Relay } from './filters/relay.js';
-import { Validate } from './filters/validate.js';
+import { createFilters } from './filters/createFilters.js';
 import { StreamWriter } from './log/streamWriter.js';
 import { PeerServer } from './peers/peerRpc.js';
-import { RetryBudget } from './routing/retryBudget.js';
 import { getAllowKey } from './rules/checker.js';
 import { CallerServer } from './server/callerServer.js';
 
@@ -68,7 +59,6 @@
   readonly random?: () => number;
 }
 
-const LOG_AWAY_MS = 300;
 const NOT_READY_COME_BACK_MS = 2_000;
 
 /** Creates the name of one run of a process. */
@@ -149,7 +139,16 @@
     this.bills = this.createWriter(BILLS_STREAM);
     this.rulesWriter = this.createWriter(RULES_STREAM);
     this.checkpoints = this.createCheckpoints();
-    this.filters = this.createFilters();
+    this.filters = createFilters({
+      ...options,
+      rules: this.rules,
+      budgets: this.budgets,
+      claims: this.claims,
+      bills: this.bills,
+      endpoints: this.endpoints,
+      queues: this.queues,
+      suspects: this.suspects,
+    });
     this.peers = new PeerController({
       timers,
       vm: this.vm,
@@ -370,39 +369,6 @@
     });
   }
 
-  private createFilters(): Filter[] {
-    const { timers, metrics, settings, endpointClient } = this.options;
-    const { endpoints, queues, claims, suspects } = this;
-    const retries = new RetryBudget({ share: settings.endpoints.retryPercent / 100 });
-    return [
-      new Identify({ timers, ...settings.limits }),
-      new Authenticate({ getRules: () => this.rules.getInForce() }),
-      new Validate(settings.limits),
-      new MatchRule(),
-      new Deduplicate({ suspects }),
-      new Admit(endpoints),
-      new HoldBudget({ hold: (budget, tokens) => this.budgets.hold(budget, tokens) }),
-      new Bill({
-        timers,
-        metrics,
-        append: (bill) => this.bills.append(bill),
-        ...settings.billing,
-        isLogAway: () => this.bills.getFailingMs() > LOG_AWAY_MS,
-      }),
-      new ClaimCall({ timers, claims }),
-      new Relay({
-        timers,
-        metrics,
-        client: endpointClient,
-        endpoints,
-        queues,
-        claims,
-        suspects,
-        retries,
-      }),
-    ];
-  }
-
   private createServer(): CallerServer {
     const { settings, timers, metrics, logger } = this.options;
     const peerServer = new PeerServer(settings.peers.sharedKey, this.peers.createHandlers());
--- /dev/null
+++ b/tests/unit/promises.test.ts
@@ -0,0 +1,126 @@
+import { test } from 'node:test';
+import { expect } from 'earl';
+import { auditBudgetStream } from '../../src/audit/auditBudgets.js';
+import { Simulation } from '../support/simulation.js';
+
+async function startSimulation(options: ConstructorParameters<typeof Simulation>[0] = {}) {
+  const simulation = new Simulation(options);
+  await simulation.advance(2_000);
+  return simulation;
+}
+
+test('a router cut off from the log has accepted rules in force within 4 s through a peer', async () => {
+  const simulation = await startSimulation();
+  simulation.routers[0]!.log.cut = true;
+  simulation.topUp('more', 5);
+  const { version } = simulation.getRules();
+  await simulation.advance(4_000);
+  expect(simulation.routers[0]!.router.rules.getVersion()).toEqual(version);
+});
+
+test('a new router takes the newest rules of its peers while the log is away, and is not ready', async () => {
+  const simulation = await startSimulation();
+  simulation.routers[1]!.log.cut = true;
+  simulation.network.setCut('router-1', 'router-2', true);
+  simulation.network.setCut('router-2', 'router-3', true);
+  simulation.topUp('more', 5);
+  await simulation.advance(3_000);
+  simulation.server.outage = true;
+  simulation.kill(2);
+  simulation.network.setCut('router-2', 'router-3', false);
+  simulation.startRouter(2);
+  await simulation.advance(4_000);
+  const { rules } = simulation.routers[2]!.router;
+  expect(rules.getVersion()).toEqual(simulation.getRules().version);
+  expect(simulation.routers[2]!.router.getUnreadiness()).toEqual(
+    'no proven state of the budgets or claims',
+  );
+  const order = simulation.order(2, 'early');
+  await simulation.advance(3_000);
+  // The hold comes before the claim, so that the budget is what refuses first.
+  expect([order.error?.code, order.error?.ran]).toEqual(['budgetUnavailable', 'not_run']);
+});
+
+test('routers that know of no other router keep every promise', async () => {
+  const simulation = new Simulation({ tokens: 600 });
+  simulation.vms.splice(
+    0,
+    simulation.vms.length,
+    ...simulation.vms.filter(({ vm }) => !vm.startsWith('router')),
+  );
+  await simulation.advance(6_000);
+  const orders = [0, 1, 2].map((index) => simulation.order(index, 'same'));
+  const chats = [0, 1, 2].map((index) => simulation.chat(index, `c${index}`, 'hello', 20));
+  await simulation.advance(10_000);
+  expect(orders.some(({ status }) => status === 201)).toEqual(true);
+  expect(simulation.endpoints.orders.get('same')).toEqual(1);
+  expect(chats.filter((chat) => chat.isWhole())).toHaveLength(3);
+  expect(simulation.getTokensOut() <= simulation.funded).toEqual(true);
+});
+
+test('a graceful stop returns every token that was not spent', async () => {
+  const simulation = await startSimulation();
+  simulation.chat(0, 'c1', 'hello', 30);
+  await simulation.advance(5_000);
+  simulation.routers[0]!.router.budgets.close();
+  await simulation.advance(1_000);
+  const { fold } = auditBudgetStream(simulation.dump('budgets-0'));
+  const [account] = fold.accounts.values();
+  const [holder] = account!.holders.values();
+  expect(account!.outstanding).toEqual(holder!.spent);
+  expect(holder!.spent).toEqual(35);
+});
+
+test('without a checkpoint a new router refuses, and serves once a living one has written it', async () => {
+  const simulation = await startSimulation({ retentionMs: 400_000 });
+  const order = simulation.order(0, 'first');
+  await simulation.advance(1_000);
+  expect(order.status).toEqual(201);
+  simulation.server.retentionMs = 1;
+  await simulation.advance(1_000);
+  simulation.server.retentionMs = 400_000;
+  simulation.kill(2);
+  simulation.startRouter(2);
+  await simulation.advance(2_000);
+  const early = simulation.order(2, 'first');
+  await simulation.advance(3_000);
+  expect(early.error?.ran).toEqual('not_run');
+  expect(simulation.routers[2]!.router.getUnreadiness()).not.toEqual(undefined);
+  // A quarter of the retention, two ranks of a sixteenth each, and one check between.
+  await simulation.advance(170_000);
+  expect(simulation.routers[2]!.router.getUnreadiness()).toEqual(undefined);
+  const late = simulation.order(2, 'first');
+  await simulation.advance(3_000);
+  expect(late.status).toEqual(201);
+  expect(simulation.endpoints.orders.get('first')).toEqual(1);
+});
+
+test('an engine that tells one router it is leaving gets no work from the others within 5 s', async () => {
+  const simulation = await startSimulation();
+  simulation.endpoints.setFaults('engine-1', { leaving: true });
+  Array.from({ length: 12 }, (_, index) => simulation.chat(0, `a${index}`, `prompt ${index}`, 2));
+  await simulation.advance(5_000);
+  const calls = simulation.endpoints.calls.get('engine-1');
+  expect(calls! > 0).toEqual(true);
+  const chats = Array.from({ length: 24 }, (_, index) =>
+    simulation.chat(index % 3, `b${index}`, `other ${index}`, 2),
+  );
+  await simulation.advance(5_000);
+  expect(simulation.endpoints.calls.get('engine-1')).toEqual(calls);
+  expect(chats.every((chat) => chat.isWhole())).toEqual(true);
+});
+
+test('a request that crashes engines ends after two deaths, under new ids and at other routers', async () => {
+  const simulation = await startSimulation();
+  const innocent = simulation.chat(1, 'innocent', 'innocent', 30);
+  const attempts = [0, 1, 2, 0, 1].map((router, index) => {
+    simulation.timers.subscribe(index * 1_500, () => {
+      simulation.chat(router, `bad-${index}`, 'crash it', 2);
+    });
+    return router;
+  });
+  await simulation.advance(attempts.length * 1_500 + 8_000);
+  const deaths = [...simulation.endpoints.deaths.values()].reduce((sum, count) => sum + count, 0);
+  expect(deaths <= 2).toEqual(true);
+  expect(innocent.isWhole()).toEqual(true);
+});
