Give the engine stand-in priority, a prefix cache, batching, resume, a lagging load report and late answers

Change: each is an option or a command, off by default, so that the benches measure as before. A caller that leaves in the middle of a write can't raise an error in the router's server. The fit by number of routers stands once for two benches.

--- a/bench/fleet.ts
+++ b/bench/fleet.ts
@@ -1,7 +1,7 @@
 /** What a fleet's control plane costs as it grows: tasks in one process, on virtual time. */
 import { Simulation } from '../tests/support/simulation.js';
 import {
-  fitLine,
+  createRouterFit,
   getMs,
   measureCpuUs,
   round,
@@ -70,21 +70,14 @@
   for (const routers of FLEETS) {
     rows.push(await measureFleet(routers));
   }
-  const fit = fitLine(
-    rows.map((row): [number, number] => [Number(row.routers), Number(row['control us/router/s'])]),
-  );
   return [
     { title: 'Control plane by routers (tasks in one process, virtual time)', rows },
-    {
-      title: 'Control time of one router against the number of routers',
-      rows: [
-        {
-          'us/s a router more': round(fit.slope),
-          'us/s at 0': round(fit.intercept),
-          r2: round(fit.r2),
-        },
-      ],
-    },
+    createRouterFit(
+      'Control time of one router against the number of routers',
+      rows,
+      'control us/router/s',
+      'us/s',
+    ),
   ];
 }
 
--- a/bench/processes.ts
+++ b/bench/processes.ts
@@ -4,8 +4,8 @@
 import { startFleet, waitUntilReady, type Fleet } from '../launch/fleet.js';
 import { runMain } from '../src/commands/main.js';
 import {
+  createRouterFit,
   delay,
-  fitLine,
   getMedian,
   getMs,
   getProcessCpuSeconds,
@@ -89,21 +89,9 @@
   for (const routers of FLEETS) {
     rows.push(await measureFleet(routers));
   }
-  const fit = fitLine(
-    rows.map((row): [number, number] => [Number(row.routers), Number(row['core %, median'])]),
-  );
   return [
     { title: 'Router processes at rest, default settings', rows },
-    {
-      title: 'Control time against the number of routers',
-      rows: [
-        {
-          'core % a router more': round(fit.slope),
-          'core % at 0': round(fit.intercept),
-          r2: round(fit.r2),
-        },
-      ],
-    },
+    createRouterFit('Control time against the number of routers', rows, 'core %, median', 'core %'),
   ];
 }
 
--- a/bench/support.ts
+++ b/bench/support.ts
@@ -48,6 +48,26 @@
   return { slope, intercept: meanY - slope * meanX, r2: yy === 0 ? 1 : xy ** 2 / (xx * yy) };
 }
 
+/** Returns a table with the fit of one column of rows against the number of routers. */
+export function createRouterFit(
+  title: string,
+  rows: readonly Row[],
+  column: string,
+  unit: string,
+): Table {
+  const fit = fitLine(rows.map((row) => [Number(row.routers), Number(row[column])] as const));
+  return {
+    title,
+    rows: [
+      {
+        [`${unit} a router more`]: round(fit.slope),
+        [`${unit} at 0`]: round(fit.intercept),
+        r2: round(fit.r2),
+      },
+    ],
+  };
+}
+
 /** Returns the median of numbers. */
 export function getMedian(values: readonly number[]): number {
   const sorted = [...values].sort((a, b) => a - b);
--- a/src/server/callerServer.ts
+++ b/src/server/callerServer.ts
@@ -185,6 +185,8 @@
       return;
     }
     this.busy.add(response);
+    // A caller that goes away in the middle of a write is no error of the router's.
+    response.on('error', () => {});
     response.on('close', () => this.onEnd(response));
     const gone = new AbortController();
     response.on('close', () => gone.abort());
--- a/standins/engineStandin.ts
+++ b/standins/engineStandin.ts
@@ -1,6 +1,7 @@
 /** A stand-in for a model engine: streams made-up tokens at a rate, with its faults on command. */
 import { createHash } from 'node:crypto';
 import type { IncomingMessage, ServerResponse } from 'node:http';
+import { LRUCache } from 'lru-cache';
 import { HttpStandin, readAll, sendJson, sleep } from './httpStandin.js';
 
 /** Options of the stand-in. */
@@ -11,6 +12,16 @@
   readonly slots?: number;
   /** Tokens of an answer, unless the request asks for fewer. Default 12. */
   readonly answerTokens?: number;
+  /** How much longer a token takes with every slot in use, as a share. Default 0. */
+  readonly batchFactor?: number;
+  /** Requests that wait for a slot, by priority; more are refused. Default 0. */
+  readonly queueLength?: number;
+  /** Time to read a prompt whose start is not cached, in milliseconds. Default 0. */
+  readonly prefillMs?: number;
+  /** Prompt starts that the cache holds. Default 64. */
+  readonly cachedPrefixes?: number;
+  /** How old the load report is, in milliseconds. Default 0. */
+  readonly loadLagMs?: number;
   /** Called when a request crashes the engine. Default: breaks every connection and goes on. */
   readonly onCrash?: () => void;
 }
@@ -25,6 +36,8 @@
   crossed: number;
   /** Refuses new work. */
   leaving: boolean;
+  /** Waits so long before the first byte, in milliseconds. */
+  lateMs: number;
   /** Breaks the connection after so many tokens. */
   breakAfter: number;
 }
@@ -33,6 +46,8 @@
 export const CRASH_TEXT = 'CRASH-THE-ENGINE';
 
 const BYTES_PER_TOKEN = 4;
+const PREFIX_CHARACTERS = 256;
+const REMEMBERED_LOADS = 1_000;
 const WORDS = ['pole', 'roll', 'ash', 'ferrule', 'pile', 'dye', 'quote', 'offcut', 'river', 'shop'];
 
 /** The engine. */
@@ -42,6 +57,7 @@
     silent: false,
     crossed: 0,
     leaving: false,
+    lateMs: 0,
     breakAfter: Number.POSITIVE_INFINITY,
   };
 
@@ -51,10 +67,20 @@
   /** Requests whose caller went away before the end. */
   cancelled = 0;
 
+  /** Requests whose prompt's start was cached. */
+  cacheHits = 0;
+
   private running = 0;
 
+  private readonly waiting: { readonly priority: number; readonly start: () => void }[] = [];
+
+  private readonly prefixes: LRUCache<string, true>;
+
+  private readonly loads: { readonly at: number; readonly running: number }[] = [];
+
   constructor(private readonly options: EngineStandinOptions = {}) {
     super();
+    this.prefixes = new LRUCache({ max: options.cachedPrefixes ?? 64 });
   }
 
   protected override async handle(
@@ -67,26 +93,80 @@
       sendJson(response, 200, { ...this.faults, started: this.started, cancelled: this.cancelled });
       return;
     }
+    if (message.url === '/load') {
+      sendJson(response, 200, this.getLoad());
+      return;
+    }
     if (this.faults.leaving) {
       sendJson(response, 503, { error: 'leaving' }, { 'x-endpoint-leaving': 'yes' });
       return;
     }
-    const { slots = 16 } = this.options;
-    if (this.running >= slots) {
+    if (!(await this.waitForSlot(Number(message.headers['x-priority'] ?? 0)))) {
       sendJson(response, 429, { error: 'full' });
       return;
     }
     if (JSON.stringify(body.messages).includes(CRASH_TEXT)) {
+      this.leaveSlot();
       (this.options.onCrash ?? (() => this.breakConnections()))();
       return;
     }
-    this.running += 1;
     this.started += 1;
     try {
       await this.answer(body, this.getId(message), response);
     } finally {
-      this.running -= 1;
+      this.leaveSlot();
+    }
+  }
+
+  /** Takes a slot, waiting in the order of priority; resolves with false where the queue is full. */
+  private async waitForSlot(priority: number): Promise<boolean> {
+    const { slots = 16, queueLength = 0 } = this.options;
+    if (this.running >= slots) {
+      if (this.waiting.length >= queueLength) {
+        return false;
+      }
+      await new Promise<void>((start) => {
+        this.waiting.push({ priority, start });
+        this.waiting.sort((a, b) => b.priority - a.priority);
+      });
     }
+    this.running += 1;
+    this.noteLoad();
+    return true;
+  }
+
+  private leaveSlot(): void {
+    this.running -= 1;
+    this.noteLoad();
+    this.waiting.shift()?.start();
+  }
+
+  private noteLoad(): void {
+    this.loads.push({ at: Date.now(), running: this.running });
+    this.loads.splice(0, this.loads.length - REMEMBERED_LOADS);
+  }
+
+  /** Returns the load as it was a lag ago. */
+  private getLoad(): { running: number; waiting: number } {
+    const until = Date.now() - (this.options.loadLagMs ?? 0);
+    const running = this.loads.filter(({ at }) => at <= until).at(-1)?.running ?? 0;
+    return { running, waiting: this.waiting.length };
+  }
+
+  /** Reads the prompt: slow where its start is not in the cache. */
+  private async prefill(prompt: string): Promise<void> {
+    const prefix = prompt.slice(0, PREFIX_CHARACTERS);
+    if (this.prefixes.get(prefix)) {
+      this.cacheHits += 1;
+    } else {
+      await sleep(this.options.prefillMs ?? 0);
+    }
+    this.prefixes.set(prefix, true);
+  }
+
+  private getTokenMs(): number {
+    const { tokenMs = 5, slots = 16, batchFactor = 0 } = this.options;
+    return tokenMs * (1 + (batchFactor * this.running) / slots);
   }
 
   private getId(message: IncomingMessage): string {
@@ -99,20 +179,30 @@
   }
 
   private async answer(
-    body: { messages: unknown; model: string; stream?: boolean; max_tokens?: number },
+    body: {
+      messages: unknown;
+      model: string;
+      stream?: boolean;
+      max_tokens?: number;
+      /** Tokens that the caller has already from a run that broke off. */
+      resume_from?: number;
+    },
     id: string,
     response: ServerResponse,
   ): Promise<void> {
-    const { answerTokens = 12, tokenMs = 5 } = this.options;
+    const { answerTokens = 12 } = this.options;
     const count = Math.min(body.max_tokens ?? answerTokens, answerTokens);
-    const words = createWords(JSON.stringify(body.messages), count);
+    const prompt = JSON.stringify(body.messages);
+    const words = createWords(prompt, count);
+    await this.prefill(prompt);
+    await sleep(this.faults.lateMs);
     const usage = {
-      prompt_tokens: Math.ceil(JSON.stringify(body.messages).length / BYTES_PER_TOKEN),
+      prompt_tokens: Math.ceil(prompt.length / BYTES_PER_TOKEN),
       completion_tokens: words.length,
     };
     const head = { id: `chatcmpl-${id}`, created: 0, model: body.model };
     if (!body.stream) {
-      await sleep(tokenMs * words.length);
+      await sleep(this.getTokenMs() * words.length);
       await this.waitWhileFrozen(response);
       const message = { role: 'assistant', content: words.join('') };
       const choices = [{ index: 0, message, finish_reason: 'stop' }];
@@ -127,7 +217,7 @@
         `data: ${JSON.stringify({ ...head, object: 'chat.completion.chunk', ...rest })}\n\n`,
       );
     };
-    for (let index = 0; index < words.length; index += 1) {
+    for (let index = body.resume_from ?? 0; index < words.length; index += 1) {
       if (response.destroyed) {
         this.cancelled += 1;
         return;
@@ -137,7 +227,7 @@
         return;
       }
       send({ choices: [{ index: 0, delta: { content: words[index] }, finish_reason: null }] });
-      await sleep(tokenMs);
+      await sleep(this.getTokenMs());
       await this.waitWhile(() => this.faults.silent, response);
     }
     send({ choices: [{ index: 0, delta: {}, finish_reason: 'stop' }] });
--- a/standins/main.ts
+++ b/standins/main.ts
@@ -13,6 +13,10 @@
     'token-ms': { type: 'string', default: '5' },
     slots: { type: 'string', default: '16' },
     'answer-tokens': { type: 'string', default: '12' },
+    'batch-factor': { type: 'string', default: '0' },
+    queue: { type: 'string', default: '0' },
+    'prefill-ms': { type: 'string', default: '0' },
+    'load-lag-ms': { type: 'string', default: '0' },
     'appends-per-second': { type: 'string', default: '500' },
     'retention-ms': { type: 'string', default: '3600000' },
   },
@@ -32,6 +36,10 @@
         tokenMs: Number(values['token-ms']),
         slots: Number(values.slots),
         answerTokens: Number(values['answer-tokens']),
+        batchFactor: Number(values['batch-factor']),
+        queueLength: Number(values.queue),
+        prefillMs: Number(values['prefill-ms']),
+        loadLagMs: Number(values['load-lag-ms']),
         onCrash: () => process.exit(1),
       });
     case 'service':
