Bound how often a billed request runs again without charge

Cause: read as a caller who wants free tokens, a billed id could be repeated for ever at one router without being charged, since a request is billed once.

Change: three uncharged runs, for callers that lost the answer; then code 1013, not run. Claimed calls are replayed and don't count.

Conclusion: the repeat at another router is still charged there a second time; the audit notes it.

--- a/src/core/codes.ts
+++ b/src/core/codes.ts
@@ -101,6 +101,13 @@
     'unknown',
     'The same request is running here; its answer goes to the first caller.',
   ),
+  repeatedTooOften: entry(
+    1013,
+    429,
+    'rate_limit_error',
+    'not_run',
+    'The request was answered and billed before; it was repeated too often.',
+  ),
   budgetExhausted: entry(
     2001,
     429,
--- a/src/filters/deduplicate.ts
+++ b/src/filters/deduplicate.ts
@@ -19,9 +19,13 @@
   readonly digest: string;
   running: boolean;
   billed: boolean;
+  /** Runs that were not charged, since the request was billed before. */
+  uncharged: number;
 }
 
 const IN_PROGRESS_COME_BACK_MS = 1_000;
+/** A billed request may run again without charge so often, for callers that lost its answer. */
+const UNCHARGED_RUNS_MAX = 3;
 
 /** Checks the id and the body against what this router saw before. Sets `wasBilled`. */
 export class Deduplicate extends Filter {
@@ -50,14 +54,18 @@
   ): Promise<FilterResult> {
     const id = `${exchange.key.workspace}\n${exchange.id}`;
     const { digest } = exchange;
-    const known = this.known.get(id) ?? { digest, running: false, billed: false };
+    const known = this.known.get(id) ?? { digest, running: false, billed: false, uncharged: 0 };
     if (known.digest !== digest) {
       return Err(createRefusal('keyReused'));
     }
     if (known.running) {
       return Err(createRefusal('inProgress', { retryAfterMs: IN_PROGRESS_COME_BACK_MS }));
     }
+    if (known.uncharged >= UNCHARGED_RUNS_MAX) {
+      return Err(createRefusal('repeatedTooOften'));
+    }
     this.known.set(id, known);
+    known.uncharged += known.billed && !exchange.once ? 1 : 0;
     known.running = true;
     exchange.wasBilled = known.billed;
     try {
--- a/tests/unit/promises.test.ts
+++ b/tests/unit/promises.test.ts
@@ -124,3 +124,17 @@
   expect(deaths <= 2).toEqual(true);
   expect(innocent.isWhole()).toEqual(true);
 });
+
+test('a billed request runs again without charge three times and no more', async () => {
+  const simulation = await startSimulation();
+  const codes: (string | undefined)[] = [];
+  for (let run = 0; run < 5; run += 1) {
+    const chat = simulation.chat(0, 'same', 'hello', 5);
+    await simulation.advance(2_000);
+    codes.push(chat.error?.code);
+  }
+  expect(codes).toEqual([undefined, undefined, undefined, undefined, 'repeatedTooOften']);
+  const [allotment] = simulation.routers[0]!.router.budgets.shards[0]!.getAllotments().values();
+  expect(allotment!.spent).toEqual(10);
+  expect(simulation.audit().bills).toEqual(1);
+});
