List a false refusal with homes as known red, and pass over just what is listed

The test runner prints listed failures and fails on any other (Node 20 has no flag to leave tests out by name, so it reads the names of the failed ones).

--- a/launch/test.ts
+++ b/launch/test.ts
@@ -1,6 +1,6 @@
 /**
- * Runs the tests with Node's runner. A test listed in KNOWN-RED.txt is run by itself and printed, and
- * its failure is passed over; every other failure fails the run.
+ * Runs the tests with Node's runner. The failure of a test listed in KNOWN-RED.txt is printed and
+ * passed over; every other failure fails the run.
  */
 import { spawnSync } from 'node:child_process';
 import { existsSync, readFileSync, readdirSync } from 'node:fs';
@@ -9,6 +9,7 @@
 
 const KNOWN_RED_FILE = getTreePath('KNOWN-RED.txt');
 const CONCURRENCY = '4';
+const OUTPUT_BYTES_MAX = 64 * 1024 * 1024;
 
 /** One entry of KNOWN-RED.txt: `TEST NAME | command and seed | what was seen | issue`. */
 interface KnownRed {
@@ -33,25 +34,30 @@
     .sort();
 }
 
-function runTests(files: readonly string[], extra: readonly string[]): number {
-  const args = ['--test', `--test-concurrency=${CONCURRENCY}`, ...extra, ...files];
-  return spawnSync(process.execPath, args, { stdio: 'inherit' }).status ?? 1;
-}
-
-function escapePattern(text: string): string {
-  return text.replace(/[.*+?^${}()|[\]\\/]/g, '\\$&');
+/** Runs the files, shows the output, and returns the names of the tests that failed. */
+function runTests(files: readonly string[]): { failed: string[]; status: number } {
+  const args = ['--test', `--test-concurrency=${CONCURRENCY}`, '--test-reporter=tap', ...files];
+  const result = spawnSync(process.execPath, args, {
+    stdio: ['ignore', 'pipe', 'inherit'],
+    encoding: 'utf8',
+    maxBuffer: OUTPUT_BYTES_MAX,
+  });
+  process.stdout.write(result.stdout);
+  const lines = result.stdout.matchAll(/^\s*not ok \d+ - (.*)$/gm);
+  return { failed: [...lines].map((match) => match[1]!), status: result.status ?? 1 };
 }
 
 const wanted = process.argv.slice(2);
-const files = findTestFiles(getTreePath('dist/tests')).filter(
+const chosen = findTestFiles(getTreePath('dist/tests')).filter(
   (file) => wanted.length === 0 || wanted.some((part) => file.includes(part)),
 );
 const known = readKnownRed();
-const skips = known.map(({ name }) => `--test-skip-pattern=/^${escapePattern(name)}$/`);
-const status = runTests(files, skips);
+const { failed, status } = runTests(chosen);
+const unknown = failed.filter((name) => !known.some((red) => red.name === name));
 known.forEach(({ name, line }) => {
-  process.stdout.write(`known red: ${line}\n`);
-  const result = runTests(files, [`--test-name-pattern=/^${escapePattern(name)}$/`]);
-  process.stdout.write(`known red: ${name}: ${result === 0 ? 'PASSES NOW' : 'still fails'}\n`);
+  const result = failed.includes(name) ? 'failed as listed' : 'did not fail';
+  process.stdout.write(`known red, ${result}: ${line}\n`);
 });
-process.exitCode = status;
+// A run that failed without naming a test failed in some other way.
+const isPassedOver = failed.length > 0 && unknown.length === 0;
+process.exitCode = status === 0 || isPassedOver ? 0 : 1;
--- a/tests/properties/interleaving.test.ts
+++ b/tests/properties/interleaving.test.ts
@@ -1,5 +1,6 @@
 import { test } from 'node:test';
 import { expect } from 'earl';
+import { checkInterleavings, describeFailure } from './interleaving.js';
 import { runInParallel } from './parallel.js';
 
 test('the promises hold over 1,000 interleavings of every fault', async () => {
@@ -20,3 +21,9 @@
   const interleaving = { tokens: 1_000, routers: 4, homesPerZone: 1, idleReturnMs: 3_000 };
   expect(await runInParallel({ runs: 500, seed: 4, interleaving })).toEqual([]);
 });
+
+test('homes recall idle tokens from the routers that they lent them to', async () => {
+  const interleaving = { tokens: 1_000, routers: 4, homesPerZone: 1 };
+  const details = await checkInterleavings({ runs: 125, seed: 7_007, interleaving, shrink: false });
+  expect(describeFailure(details)).toEqual('');
+});
