Publish rules to a bench fleet in one place

Cause: reading the whole change, four benches each made a silent output and called the command line to apply the sample rules.

Behaviour is as before; nothing in src or tests changes. Looked at and left: the two clocked experiments (budgets and surge) share only the shape of their constants; the rule table and the rule set are the same fields, changeable and not.

--- a/bench/billing.ts
+++ b/bench/billing.ts
@@ -2,8 +2,7 @@
 import { Agent, request } from 'undici';
 import { build } from 'hdr-histogram-js';
 import { control, sampleKeys, startFleet, waitUntilReady } from '../launch/fleet.js';
-import { runMain } from '../src/commands/main.js';
-import { delay, getMs, round, type Bench, type Row, type Table } from './support.js';
+import { applyRules, delay, getMs, round, type Bench, type Row, type Table } from './support.js';
 
 const REQUESTS = 400;
 const PER_SECOND = 40;
@@ -19,8 +18,7 @@
     tokens: 1e9,
     settings: { logging: { level: 'error' }, billing: { mode } },
   });
-  const silent = { out: () => {}, error: () => {}, isTerminal: false };
-  await runMain(['rules', 'apply', fleet.rulesFile, '--log', fleet.logUrl], silent);
+  await applyRules(fleet);
   await waitUntilReady(fleet.routerUrls[0]!);
   await delay(1_000);
   await control(fleet.logUrl, { slowMs: logDelayMs });
--- a/bench/processes.ts
+++ b/bench/processes.ts
@@ -2,8 +2,8 @@
 import { readFileSync, writeFileSync } from 'node:fs';
 import { join } from 'node:path';
 import { startFleet, waitUntilReady, type Fleet } from '../launch/fleet.js';
-import { runMain } from '../src/commands/main.js';
 import {
+  applyRules,
   createRouterFit,
   delay,
   getMedian,
@@ -19,7 +19,6 @@
 const FLEETS = [6, 15, 30, 60];
 const REST_MS = 10_000;
 const EDITS = 5;
-const silent = { out: () => {}, error: () => {}, isTerminal: false };
 
 async function getVersion(url: string): Promise<number> {
   const text = await (await fetch(`${url}/metrics`)).text();
@@ -35,7 +34,7 @@
   );
   writeFileSync(file, `${readFileSync(fleet.rulesFile, 'utf8')}${added.join('\n')}\n`);
   const startedAt = getMs();
-  await runMain(['rules', 'apply', file, '--log', fleet.logUrl], silent);
+  await applyRules(fleet, file);
   const isInForce = async () => {
     const versions = await Promise.all(fleet.routerUrls.map(getVersion));
     return versions.every((version) => version >= number + 1);
@@ -57,7 +56,7 @@
       vms: { pollMs: 2_000 },
     },
   });
-  await runMain(['rules', 'apply', fleet.rulesFile, '--log', fleet.logUrl], silent);
+  await applyRules(fleet);
   await Promise.all(fleet.routerUrls.map((url) => waitUntilReady(url, 60_000)));
   await delay(5_000);
   const pids = fleet.routers.map(({ child }) => child.pid!);
--- a/bench/relay.ts
+++ b/bench/relay.ts
@@ -2,8 +2,8 @@
 import { Agent, request } from 'undici';
 import { build, type Histogram } from 'hdr-histogram-js';
 import { sampleKeys, startFleet, waitUntilReady, type Fleet } from '../launch/fleet.js';
-import { runMain } from '../src/commands/main.js';
 import {
+  applyRules,
   delay,
   fitLine,
   getMs,
@@ -141,8 +141,7 @@
     settings: { logging: { level: 'error' }, limits: { queueLength: 5_000 } },
     slots: 2_000,
   });
-  const silent = { out: () => {}, error: () => {}, isTerminal: false };
-  await runMain(['rules', 'apply', fleet.rulesFile, '--log', fleet.logUrl], silent);
+  await applyRules(fleet);
   await waitUntilReady(fleet.routerUrls[0]!);
   await delay(1_000);
   return fleet;
--- a/bench/sockets.ts
+++ b/bench/sockets.ts
@@ -4,7 +4,6 @@
 import { startFleet, waitUntilReady, sampleKeys, type Fleet } from '../launch/fleet.js';
 import { startProcess } from '../launch/processes.js';
 import { readAll } from '../standins/httpStandin.js';
-import { runMain } from '../src/commands/main.js';
 import { RulesController } from '../src/controllers/rulesController.js';
 import { SystemTimers } from '../src/core/timers.js';
 import { HttpPeerClient, PeerServer, type PeerHandlers } from '../src/peers/peerRpc.js';
@@ -14,6 +13,7 @@
 import { brandId, type VmId } from '../src/types/ids.js';
 import type { ProbeMessage } from '../src/types/peers.js';
 import {
+  applyRules,
   delay,
   fitLine,
   getMedian,
@@ -29,7 +29,6 @@
 const READERS = [6, 30, 100, 300];
 const EDITS = 5;
 const SHARED_KEY = 'a-shared-key-of-a-bench';
-const silent = { out: () => {}, error: () => {}, isTerminal: false };
 
 /** Tasks in this process, each with connections of its own to a log in another process. */
 async function measureFanOut(readers: number): Promise<Row> {
@@ -137,7 +136,7 @@
     slots: 2_000,
     tokens: 1e9,
   });
-  await runMain(['rules', 'apply', fleet.rulesFile, '--log', fleet.logUrl], silent);
+  await applyRules(fleet);
   await waitUntilReady(fleet.routerUrls[0]!);
   await delay(1_500);
   return fleet;
--- a/bench/support.ts
+++ b/bench/support.ts
@@ -1,6 +1,8 @@
 /** What the benches share: fits, tables, plots and processor time. */
 import { mkdirSync, readFileSync, writeFileSync } from 'node:fs';
 import { performance } from 'node:perf_hooks';
+import type { Fleet } from '../launch/fleet.js';
+import { runMain } from '../src/commands/main.js';
 
 /** One row of a result. */
 export type Row = Readonly<Record<string, string | number>>;
@@ -68,6 +70,12 @@
   };
 }
 
+/** Publishes a rules file to a fleet, its sample one by default, and prints nothing. */
+export async function applyRules(fleet: Fleet, file = fleet.rulesFile): Promise<void> {
+  const silent = { out: () => {}, error: () => {}, isTerminal: false };
+  await runMain(['rules', 'apply', file, '--log', fleet.logUrl], silent);
+}
+
 /** Returns the median of numbers. */
 export function getMedian(values: readonly number[]): number {
   const sorted = [...values].sort((a, b) => a - b);
