--- /dev/null
+++ b/bench/billing.ts
@@ -0,0 +1,78 @@
+/** What billing before or after the last chunk adds to the end of an answer, on real sockets. */
+import { Agent, request } from 'undici';
+import { build } from 'hdr-histogram-js';
+import { control, sampleKeys, startFleet, waitUntilReady } from '../launch/fleet.js';
+import { runMain } from '../src/commands/main.js';
+import { delay, getMs, round, type Bench, type Row, type Table } from './support.js';
+
+const REQUESTS = 400;
+const PER_SECOND = 40;
+const US_PER_MS = 1_000;
+const LOG_DELAYS_MS = [0, 20, 100];
+
+async function measureMode(mode: 'before' | 'after', logDelayMs: number): Promise<Row> {
+  const fleet = await startFleet({
+    routers: 1,
+    engines: 2,
+    services: 1,
+    slots: 200,
+    tokens: 1e9,
+    settings: { logging: { level: 'error' }, billing: { mode } },
+  });
+  const silent = { out: () => {}, error: () => {}, isTerminal: false };
+  await runMain(['rules', 'apply', fleet.rulesFile, '--log', fleet.logUrl], silent);
+  await waitUntilReady(fleet.routerUrls[0]!);
+  await delay(1_000);
+  await control(fleet.logUrl, { slowMs: logDelayMs });
+  const agent = new Agent({ connections: 200 });
+  const whole = build({ highestTrackableValue: 60_000_000 });
+  const send = async (number: number) => {
+    const startedAt = getMs();
+    const response = await request(`${fleet.routerUrls[0]}/v1/chat/completions`, {
+      method: 'POST',
+      dispatcher: agent,
+      headers: { authorization: `Bearer ${sampleKeys.yard}` },
+      body: JSON.stringify({
+        model: 'quill-small',
+        stream: true,
+        max_tokens: 12,
+        messages: [{ role: 'user', content: `bill ${number}` }],
+      }),
+    });
+    await response.body.text();
+    whole.recordValue(Math.round((getMs() - startedAt) * US_PER_MS));
+  };
+  const running: Promise<void>[] = [];
+  for (let number = 0; number < REQUESTS; number += 1) {
+    running.push(send(number));
+    await delay(1_000 / PER_SECOND);
+  }
+  await Promise.all(running);
+  await agent.destroy();
+  await control(fleet.logUrl, { slowMs: 0 });
+  await fleet.stop();
+  const getPercentile = (percentile: number) =>
+    round(whole.getValueAtPercentile(percentile) / US_PER_MS);
+  return {
+    mode,
+    'log delay ms': logDelayMs,
+    requests: REQUESTS,
+    'whole answer p50 ms': getPercentile(50),
+    'whole answer p99 ms': getPercentile(99),
+  };
+}
+
+async function run(): Promise<readonly Table[]> {
+  const rows: Row[] = [];
+  for (const logDelayMs of LOG_DELAYS_MS) {
+    rows.push(await measureMode('after', logDelayMs), await measureMode('before', logDelayMs));
+  }
+  return [{ title: 'Time to the whole answer, 12 tokens', rows }];
+}
+
+/** The bench. */
+export const billingBench: Bench = {
+  name: 'billing',
+  question: 'What does billing before the last chunk add to an answer, against billing after it?',
+  run,
+};
--- a/bench/run.ts
+++ b/bench/run.ts
@@ -1,5 +1,6 @@
 /** `npm run bench [-- NAME ...] [--seed N]`: runs the benches and writes their tables. */
 import { parseArgs } from 'node:util';
+import { billingBench } from './billing.js';
 import { budgetsBench } from './budgets.js';
 import { fleetBench } from './fleet.js';
 import { relayBench } from './relay.js';
@@ -15,6 +16,7 @@
   fleetBench,
   budgetsBench,
   surgeBench,
+  billingBench,
   socketsBench,
   relayBench,
 ];
--- a/src/audit/auditCalls.ts
+++ b/src/audit/auditCalls.ts
@@ -1,17 +1,19 @@
 /** Checks bills, claims and rules. */
 import type { ClaimKey, Incarnation } from '../types/ids.js';
 import type { Entry } from '../types/records.js';
-import type { StreamDump } from '../commands/streamDump.js';
+import { startReplay, type ReplayStart, type StreamDump } from '../log/streamDump.js';
 import { BillFold } from '../folds/billFold.js';
 import { ClaimFold } from '../folds/claimFold.js';
 import { DuplicateFilter } from '../folds/fold.js';
 import { RulesFold } from '../folds/rulesFold.js';
-import type { AuditedPromise, Finding } from './finding.js';
+import { createUnprovenFinding, type AuditedPromise, type Finding } from './finding.js';
 
 /** Looks for requests billed twice by one process or to two budgets. */
 export function auditBills(dump: StreamDump): { fold: BillFold; findings: Finding[] } {
   const fold = new BillFold();
-  forEachEntry(dump, (entry, offset, incarnation) => fold.apply(entry, { offset, incarnation }));
+  // Bills need no checkpoint: each stands for itself.
+  const start = { duplicates: new DuplicateFilter(), batches: dump.batches };
+  forEachEntry(start, (entry, offset, incarnation) => fold.apply(entry, { offset, incarnation }));
   const findings = fold.repeats.map(({ entry, holder, offset }): Finding => {
     const first = fold.bills.get(entry.request)!;
     const isSame = first.entry.budget === entry.budget && first.holder !== holder;
@@ -32,8 +34,13 @@
 export function auditClaims(dump: StreamDump): Finding[] {
   const fold = new ClaimFold();
   const findings: Finding[] = [];
-  const ran = new Map<ClaimKey, Incarnation>();
-  forEachEntry(dump, (entry, offset, incarnation) => {
+  const start = startReplay(dump, fold);
+  if (!start) {
+    return [createUnprovenFinding('runAtMostOnce', dump)];
+  }
+  const ended = [...fold.claims].filter(([, claim]) => claim.outcome !== undefined);
+  const ran = new Map<ClaimKey, Incarnation>(ended.map(([key, { holder }]) => [key, holder]));
+  forEachEntry(start, (entry, offset, incarnation) => {
     const problem = findClaimProblem(entry, incarnation, fold, ran);
     if (problem !== undefined) {
       findings.push(createBroken('runAtMostOnce', dump.stream, offset, problem));
@@ -72,7 +79,11 @@
 export function auditRules(dump: StreamDump): { fold: RulesFold; findings: Finding[] } {
   const fold = new RulesFold();
   const findings: Finding[] = [];
-  forEachEntry(dump, (entry, offset) => {
+  const start = startReplay(dump, fold);
+  if (!start) {
+    return { fold, findings: [createUnprovenFinding('rulesNeverRevert', dump)] };
+  }
+  forEachEntry(start, (entry, offset) => {
     const before = fold.version;
     fold.apply(entry);
     if (entry.kind === 'edit' && entry.base === before && fold.version === before) {
@@ -102,11 +113,10 @@
 }
 
 function forEachEntry(
-  dump: StreamDump,
+  { duplicates, batches }: ReplayStart,
   visit: (entry: Entry, offset: StreamDump['first'], incarnation: Incarnation) => void,
 ): void {
-  const duplicates = new DuplicateFilter();
-  dump.batches
+  batches
     .filter(({ batch }) => duplicates.accept(batch))
     .forEach(({ offset, batch }) => {
       batch.entries.forEach((entry) => visit(entry, offset, batch.incarnation));
--- a/src/audit/auditLog.ts
+++ b/src/audit/auditLog.ts
@@ -1,5 +1,5 @@
 /** Audits a whole log. */
-import type { StreamDump } from '../commands/streamDump.js';
+import type { StreamDump } from '../log/streamDump.js';
 import { auditBilledTotals, auditBudgetStream } from './auditBudgets.js';
 import { auditBills, auditClaims, auditRules } from './auditCalls.js';
 import { promiseTexts, type AuditedPromise, type Finding } from './finding.js';
@@ -37,9 +37,10 @@
   const budgets = dump.budgets.map(auditBudgetStream);
   const bills = auditBills(dump.bills);
   const folds = budgets.map(({ fold }) => fold);
+  const isProven = budgets.every(({ isProven: proven }) => proven);
   const findings = [
     ...budgets.flatMap((budget) => budget.findings),
-    ...auditBilledTotals(folds, bills.fold.bills.values()),
+    ...auditBilledTotals(folds, bills.fold.bills.values(), isProven),
     ...bills.findings,
     ...auditClaims(dump.claims),
     ...auditRules(dump.rules).findings,
--- a/src/audit/finding.ts
+++ b/src/audit/finding.ts
@@ -1,4 +1,5 @@
 /** What an audit says. */
+import type { StreamDump } from '../log/streamDump.js';
 
 /** A promise of the product. */
 export type AuditedPromise = 'noOverspend' | 'billedOnce' | 'runAtMostOnce' | 'rulesNeverRevert';
@@ -21,3 +22,9 @@
   readonly offset: number;
   readonly detail: string;
 }
+
+/** Creates the note for a stream that can't be replayed, since its oldest records are gone. */
+export function createUnprovenFinding(promise: AuditedPromise, dump: StreamDump): Finding {
+  const detail = 'older records are gone and no checkpoint follows: not audited';
+  return { promise, severity: 'note', stream: dump.stream, offset: dump.first, detail };
+}
--- a/src/commands/auditCommand.ts
+++ b/src/commands/auditCommand.ts
@@ -13,7 +13,7 @@
   type Output,
 } from './command.js';
 import { exitCodes, type ExitCode } from './exitCodes.js';
-import { readStream } from './streamDump.js';
+import { readStream } from '../log/streamDump.js';
 
 const help = `Usage: shallotrock audit --log URL [--shards N] [--json]
 
@@ -32,24 +32,33 @@
 };
 
 async function runAudit(args: readonly string[], output: Output): Promise<ExitCode> {
+  return withLog(args, output, (dump, isJson) => {
+    const report = auditLog(dump);
+    output.out(isJson ? JSON.stringify(report, undefined, 2) : formatReport(report));
+    return report.promises.every(({ held }) => held) ? exitCodes.ok : exitCodes.failed;
+  });
+}
+
+/** Reads the log that the arguments name and hands it on, with whether `--json` was given. */
+export async function withLog(
+  args: readonly string[],
+  output: Output,
+  use: (dump: LogDump, isJson: boolean) => ExitCode,
+): Promise<ExitCode> {
   const { values } = parseCommandArgs(args, {
     log: { type: 'string' },
     shards: { type: 'string' },
     json: { type: 'boolean' },
   });
+  const shards = parseShards(values.shards);
   const log = openLog(values);
-  const dump = await readLog(log, parseShards(values.shards), output);
+  const dump = await readLog(log, shards, output);
   await log.close();
-  if (dump.err) {
-    return reportUnavailable(output, dump.val);
-  }
-  const report = auditLog(dump.val);
-  output.out(values.json ? JSON.stringify(report, undefined, 2) : formatReport(report));
-  return report.promises.every(({ held }) => held) ? exitCodes.ok : exitCodes.failed;
+  return dump.ok ? use(dump.val, values.json === true) : reportUnavailable(output, dump.val);
 }
 
 /** Returns the number of budget streams that an option states, 1 without one. */
-export function parseShards(value: string | boolean | undefined): number {
+function parseShards(value: string | boolean | undefined): number {
   const text = value ?? '1';
   if (typeof text !== 'string' || !/^[1-9]\d{0,3}$/.test(text)) {
     throw new UsageError(`--shards: expected a count, found '${String(value)}'`);
@@ -58,7 +67,7 @@
 }
 
 /** Reads every stream of a log. */
-export async function readLog(
+async function readLog(
   log: LogService,
   shards: number,
   output: Output,
--- a/src/commands/budgetsCommand.ts
+++ b/src/commands/budgetsCommand.ts
@@ -4,14 +4,8 @@
 import { auditRules } from '../audit/auditCalls.js';
 import { getUnaccounted, type Account } from '../folds/budgetFold.js';
 import { checkRules } from '../rules/checker.js';
-import { parseShards, readLog } from './auditCommand.js';
-import {
-  openLog,
-  parseCommandArgs,
-  reportUnavailable,
-  type Command,
-  type Output,
-} from './command.js';
+import { withLog } from './auditCommand.js';
+import type { Command, Output } from './command.js';
 import { exitCodes, type ExitCode } from './exitCodes.js';
 
 const help = `Usage: shallotrock budgets --log URL [--shards N] [--json]
@@ -49,26 +43,17 @@
 }
 
 async function runBudgets(args: readonly string[], output: Output): Promise<ExitCode> {
-  const { values } = parseCommandArgs(args, {
-    log: { type: 'string' },
-    shards: { type: 'string' },
-    json: { type: 'boolean' },
+  return withLog(args, output, (dump, isJson) => {
+    const rules = checkRules(auditRules(dump.rules).fold.lines);
+    const rows = dump.budgets.flatMap((stream) =>
+      [...auditBudgetStream(stream).fold.accounts].flatMap(([budget, account]) => {
+        const rule = rules.ok ? rules.val.budgets.get(budget) : undefined;
+        return createRows(rule?.workspace ?? '?', budget, account);
+      }),
+    );
+    output.out(isJson ? JSON.stringify(rows, undefined, 2) : formatRows(rows));
+    return exitCodes.ok;
   });
-  const log = openLog(values);
-  const dump = await readLog(log, parseShards(values.shards), output);
-  await log.close();
-  if (dump.err) {
-    return reportUnavailable(output, dump.val);
-  }
-  const rules = checkRules(auditRules(dump.val.rules).fold.lines);
-  const rows = dump.val.budgets.flatMap((stream) =>
-    [...auditBudgetStream(stream).fold.accounts].flatMap(([budget, account]) => {
-      const rule = rules.ok ? rules.val.budgets.get(budget) : undefined;
-      return createRows(rule?.workspace ?? '?', budget, account);
-    }),
-  );
-  output.out(values.json ? JSON.stringify(rows, undefined, 2) : formatRows(rows));
-  return exitCodes.ok;
 }
 
 function createRows(workspace: string, budget: string, account: Account): BudgetRow[] {
--- a/src/commands/streamDump.ts
+++ b/src/log/streamDump.ts
@@ -3,7 +3,9 @@
 import type { Offset, StreamName } from '../types/ids.js';
 import type { Batch } from '../types/records.js';
 import type { LogRecord, LogService } from '../types/platform.js';
-import { decodeBatch } from '../log/codec.js';
+import { DuplicateFilter, type Fold } from '../folds/fold.js';
+import { CheckpointAssembler, loadCheckpoint } from './checkpoint.js';
+import { decodeBatch } from './codec.js';
 
 /** A batch with its place. */
 export interface PlacedBatch {
@@ -62,3 +64,44 @@
     undecoded.push(offset);
   }
 }
+
+/** Where folding a dump starts: the records to fold and the filter for repeats among them. */
+export interface ReplayStart {
+  readonly duplicates: DuplicateFilter;
+  readonly batches: readonly PlacedBatch[];
+}
+
+/**
+ * Prepares a fold for the records of a dump: from the empty state where the log has them all, else from
+ * the first checkpoint with every record after it. Returns `undefined` where there is none.
+ */
+export function startReplay(dump: StreamDump, fold: Fold): ReplayStart | undefined {
+  const duplicates = new DuplicateFilter();
+  if (dump.first === 0) {
+    return { duplicates, batches: dump.batches };
+  }
+  const checkpoint = findCheckpoint(dump);
+  if (!checkpoint) {
+    return undefined;
+  }
+  const saved = loadCheckpoint(checkpoint.data);
+  fold.load(saved.state);
+  duplicates.load(saved.duplicates);
+  const batches = dump.batches.filter(({ offset }) => offset >= checkpoint.asOf);
+  return { duplicates, batches };
+}
+
+function findCheckpoint(dump: StreamDump): { data: Uint8Array; asOf: Offset } | undefined {
+  const assembler = new CheckpointAssembler();
+  const parts = dump.batches.flatMap(({ batch: { incarnation, entries } }) =>
+    entries.flatMap((entry) => (entry.kind === 'checkpoint' ? [{ incarnation, entry }] : [])),
+  );
+  for (let index = 0; index < parts.length; index += 1) {
+    const { incarnation, entry } = parts[index]!;
+    const data = assembler.add(incarnation, entry);
+    if (data && entry.asOf >= dump.first) {
+      return { data, asOf: entry.asOf };
+    }
+  }
+  return undefined;
+}
--- a/tests/support/simulation.ts
+++ b/tests/support/simulation.ts
@@ -1,6 +1,6 @@
 /** A whole fleet on virtual time: real routers before fake platform, peers and endpoints. */
 import { auditLog, type AuditReport } from '../../src/audit/auditLog.js';
-import type { PlacedBatch, StreamDump } from '../../src/commands/streamDump.js';
+import type { PlacedBatch, StreamDump } from '../../src/log/streamDump.js';
 import { auditBudgetStream } from '../../src/audit/auditBudgets.js';
 import { getBudgetStream } from '../../src/controllers/budgetController.js';
 import { createLogger } from '../../src/core/logging.js';
--- a/tests/unit/audit.test.ts
+++ b/tests/unit/audit.test.ts
@@ -1,7 +1,9 @@
 import { test } from 'node:test';
 import { expect } from 'earl';
+import { auditBudgetStream } from '../../src/audit/auditBudgets.js';
 import { auditLog, type LogDump } from '../../src/audit/auditLog.js';
-import type { StreamDump } from '../../src/commands/streamDump.js';
+import { createCheckpointEntries } from '../../src/log/checkpoint.js';
+import type { StreamDump } from '../../src/log/streamDump.js';
 import { brandId, type BudgetId } from '../../src/types/ids.js';
 import type { BillEntry, Entry } from '../../src/types/records.js';
 
@@ -137,3 +139,23 @@
 function getBatches(dump: StreamDump): [string, Entry[]][] {
   return dump.batches.map(({ batch }) => [batch.incarnation, [...batch.entries]]);
 }
+
+test('a stream that the log has trimmed is audited from its checkpoint', () => {
+  const [before, after] = [getBatches(clean.budgets[0]!).slice(0, 2), [['r1', [report(41)]]]];
+  const { fold } = auditBudgetStream(createDump('budgets-0', before));
+  const checkpoint = createCheckpointEntries({
+    asOf: brandId(2),
+    state: fold.save(),
+    duplicates: [],
+  });
+  const whole = createDump('budgets-0', [...before, ['w', checkpoint], ...after] as never);
+  const trimmed = {
+    ...whole,
+    first: brandId<StreamDump['first']>(2),
+    batches: whole.batches.slice(2),
+  };
+  expect(getBroken({ ...clean, budgets: [trimmed] })).toEqual(['noOverspend']);
+  const unproven = { ...trimmed, batches: trimmed.batches.slice(1) };
+  expect(getBroken({ ...clean, budgets: [unproven] })).toEqual([]);
+  expect(auditLog({ ...clean, budgets: [unproven] }).findings[0]?.severity).toEqual('note');
+});
