--- /dev/null
+++ b/bench/processes.ts
@@ -0,0 +1,115 @@
+/** Fleets of real router processes that nobody calls: control time, memory and the spread of an edit. */
+import { readFileSync, writeFileSync } from 'node:fs';
+import { join } from 'node:path';
+import { startFleet, waitUntilReady, type Fleet } from '../launch/fleet.js';
+import { runMain } from '../src/commands/main.js';
+import {
+  delay,
+  fitLine,
+  getMedian,
+  getMs,
+  getProcessCpuSeconds,
+  getProcessMegabytes,
+  round,
+  type Bench,
+  type Row,
+  type Table,
+} from './support.js';
+
+const FLEETS = [6, 15, 30, 60];
+const REST_MS = 10_000;
+const EDITS = 5;
+const silent = { out: () => {}, error: () => {}, isTerminal: false };
+
+async function getVersion(url: string): Promise<number> {
+  const text = await (await fetch(`${url}/metrics`)).text();
+  return Number(/shallotrock_rules_version (\d+)/.exec(text)?.[1] ?? 0);
+}
+
+/** Publishes an edit and returns how long until every router was seen to have it in force. */
+async function measureEdit(fleet: Fleet, number: number): Promise<number> {
+  const file = join(fleet.folder, 'edited.rules');
+  const added = Array.from(
+    { length: number },
+    (_, index) => `budget bench-${index} workspace=yard # bench`,
+  );
+  writeFileSync(file, `${readFileSync(fleet.rulesFile, 'utf8')}${added.join('\n')}\n`);
+  const startedAt = getMs();
+  await runMain(['rules', 'apply', file, '--log', fleet.logUrl], silent);
+  const isInForce = async () => {
+    const versions = await Promise.all(fleet.routerUrls.map(getVersion));
+    return versions.every((version) => version >= number + 1);
+  };
+  while (!(await isInForce())) {
+    await delay(5);
+  }
+  return getMs() - startedAt;
+}
+
+async function measureFleet(routers: number): Promise<Row> {
+  const fleet = await startFleet({
+    routers,
+    engines: 2,
+    services: 1,
+    settings: {
+      logging: { level: 'error' },
+      peers: { probeIntervalMs: 1_000 },
+      vms: { pollMs: 2_000 },
+    },
+  });
+  await runMain(['rules', 'apply', fleet.rulesFile, '--log', fleet.logUrl], silent);
+  await Promise.all(fleet.routerUrls.map((url) => waitUntilReady(url, 60_000)));
+  await delay(5_000);
+  const pids = fleet.routers.map(({ child }) => child.pid!);
+  const before = pids.map(getProcessCpuSeconds);
+  const startedAt = getMs();
+  await delay(REST_MS);
+  const seconds = (getMs() - startedAt) / 1_000;
+  const shares = pids.map(
+    (pid, index) => (100 * (getProcessCpuSeconds(pid) - before[index]!)) / seconds,
+  );
+  const edits: number[] = [];
+  for (let number = 1; number <= EDITS; number += 1) {
+    edits.push(await measureEdit(fleet, number));
+  }
+  const megabytes = pids.map(getProcessMegabytes);
+  await fleet.stop();
+  return {
+    routers,
+    'core %, median': round(getMedian(shares)),
+    'core %, most': round(Math.max(...shares)),
+    'resident MB, median': round(getMedian(megabytes)),
+    'edit seen everywhere ms, median': round(getMedian(edits)),
+    worst: round(Math.max(...edits)),
+  };
+}
+
+async function run(): Promise<readonly Table[]> {
+  const rows: Row[] = [];
+  for (const routers of FLEETS) {
+    rows.push(await measureFleet(routers));
+  }
+  const fit = fitLine(
+    rows.map((row): [number, number] => [Number(row.routers), Number(row['core %, median'])]),
+  );
+  return [
+    { title: 'Router processes at rest, default settings', rows },
+    {
+      title: 'Control time against the number of routers',
+      rows: [
+        {
+          'core % a router more': round(fit.slope),
+          'core % at 0': round(fit.intercept),
+          r2: round(fit.r2),
+        },
+      ],
+    },
+  ];
+}
+
+/** The bench. */
+export const processesBench: Bench = {
+  name: 'processes',
+  question: 'What does a router process cost at rest, and how fast does an edit reach all of them?',
+  run,
+};
--- a/bench/run.ts
+++ b/bench/run.ts
@@ -3,6 +3,7 @@
 import { billingBench } from './billing.js';
 import { budgetsBench } from './budgets.js';
 import { fleetBench } from './fleet.js';
+import { processesBench } from './processes.js';
 import { relayBench } from './relay.js';
 import { socketsBench } from './sockets.js';
 import { startBench } from './start.js';
@@ -18,6 +19,7 @@
   surgeBench,
   billingBench,
   socketsBench,
+  processesBench,
   relayBench,
 ];
 
--- a/bench/sockets.ts
+++ b/bench/sockets.ts
@@ -18,7 +18,6 @@
   fitLine,
   getMedian,
   getMs,
-  getProcessCpuSeconds,
   getProcessMegabytes,
   measureCpuUs,
   round,
@@ -208,36 +207,6 @@
   };
 }
 
-/** A router that nobody calls: what it spends on control alone. */
-async function measureRest(): Promise<Row> {
-  const fleet = await startFleet({
-    routers: 6,
-    engines: 2,
-    services: 1,
-    settings: {
-      logging: { level: 'error' },
-      peers: { probeIntervalMs: 1_000 },
-      vms: { pollMs: 2_000 },
-    },
-  });
-  await runMain(['rules', 'apply', fleet.rulesFile, '--log', fleet.logUrl], silent);
-  await delay(5_000);
-  const pids = fleet.routers.map(({ child }) => child.pid!);
-  const before = pids.map(getProcessCpuSeconds);
-  const startedAt = getMs();
-  await delay(15_000);
-  const seconds = (getMs() - startedAt) / 1_000;
-  const shares = pids.map((pid, index) => (getProcessCpuSeconds(pid) - before[index]!) / seconds);
-  const megabytes = pids.map(getProcessMegabytes);
-  await fleet.stop();
-  return {
-    routers: 6,
-    'core %, median': round(100 * getMedian(shares)),
-    'core %, most': round(100 * Math.max(...shares)),
-    'resident MB, median': round(getMedian(megabytes)),
-  };
-}
-
 async function run(): Promise<readonly Table[]> {
   const fanOut: Row[] = [];
   for (const readers of READERS) {
@@ -250,7 +219,6 @@
       title: 'Memory of a router process',
       rows: [await measureIdleConnections(), await measureLiveStreams()],
     },
-    { title: 'A router at rest (six processes, default settings)', rows: [await measureRest()] },
   ];
 }
 
--- a/src/server/callerServer.ts
+++ b/src/server/callerServer.ts
@@ -9,7 +9,7 @@
 import type { Logger } from '../core/logging.js';
 import type { Metrics } from '../core/metrics.js';
 import type { TimerService } from '../core/timers.js';
-import { createRefusal, type Refusal } from '../core/codes.js';
+import { codes, createRefusal, type Refusal } from '../core/codes.js';
 import { createDeferred, getErrorMessage } from '../core/utilities.js';
 import { PEER_PATH, SIGNATURE_HEADER } from '../peers/peerRpc.js';
 import { createErrorBody, getErrorHeaders, getErrorStatus } from './errorBody.js';
@@ -246,6 +246,7 @@
       request: exchange?.id,
       path: message.url,
       result: name,
+      code: refusal ? codes[refusal.name].code : undefined,
       workspace: exchange?.key?.workspace,
       durationMs: timers.now() - arrivedAt,
     });
