--- a/bench/sockets.ts
+++ b/bench/sockets.ts
@@ -7,7 +7,7 @@
 import { RulesController } from '../src/controllers/rulesController.js';
 import { SystemTimers } from '../src/core/timers.js';
 import { HttpPeerClient, PeerServer, type PeerHandlers } from '../src/peers/peerRpc.js';
-import { HttpLog } from '../src/platform/httpLog.js';
+import { HttpLog } from '../src/transports/httpLog.js';
 import { RULES_STREAM } from '../src/router.js';
 import { createEdit, RulesSession } from '../src/rules/editor.js';
 import { brandId, type VmId } from '../src/types/ids.js';
--- a/eslint.config.mjs
+++ b/eslint.config.mjs
@@ -2,7 +2,7 @@
 import prettier from 'eslint-config-prettier';
 
 export default [
-  { ignores: ['dist/**', 'bench/out/**', 'node_modules/**'] },
+  { ignores: ['dist/**', 'target/**', 'bench/out/**', 'node_modules/**'] },
   plugins.stylistic,
   plugins.importX,
   plugins.node,
--- a/src/commands/auditCommand.ts
+++ b/src/commands/auditCommand.ts
@@ -5,7 +5,6 @@
 import { getBudgetStream } from '../controllers/budgetController.js';
 import { BILLS_STREAM, CLAIMS_STREAM, RULES_STREAM } from '../router.js';
 import {
-  openLog,
   parseCommandArgs,
   reportUnavailable,
   UsageError,
@@ -13,6 +12,7 @@
   type Output,
 } from './command.js';
 import { exitCodes, type ExitCode } from './exitCodes.js';
+import { openLog } from './openLog.js';
 import { readStream } from '../log/streamDump.js';
 
 const help = `Usage: shallotrock audit --log URL [--shards N] [--json]
--- a/src/commands/command.ts
+++ b/src/commands/command.ts
@@ -1,6 +1,5 @@
 /** What the commands share. */
 import { parseArgs, type ParseArgsConfig } from 'node:util';
-import { HttpLog } from '../platform/httpLog.js';
 import { getErrorMessage } from '../core/utilities.js';
 import { exitCodes, type ExitCode } from './exitCodes.js';
 
@@ -53,15 +52,6 @@
   return value;
 }
 
-/** Opens the log that `--log` names. */
-export function openLog(values: Arguments['values']): HttpLog {
-  const url = getRequired(values, 'log');
-  if (!URL.canParse(url)) {
-    throw new UsageError(`--log: expected a URL, found '${url}'`);
-  }
-  return new HttpLog({ url });
-}
-
 /** Prints that the log could not be read. */
 export function reportUnavailable(output: Output, detail: string): ExitCode {
   output.error(`error 8001: ${detail}`);
--- /dev/null
+++ b/src/commands/gatewayCommand.ts
@@ -0,0 +1,119 @@
+/** `shallotrock gateway`: the daemon for the users' platform. */
+import { randomBytes } from 'node:crypto';
+import { decodeEndpointEntry } from '../../platform/endpointEntry.js';
+import { decodeGatewayConfig } from '../../platform/gatewayConfig.js';
+import { PlatformHeaders } from '../../platform/headerCodec.js';
+import { CONFIG_KEY, READINESS_PATH, topics } from '../../platform/names.js';
+import { getSettingsFile, readDeployment } from '../../platform/settings.js';
+import { StoreClient } from '../../platform/storeClient.js';
+import { createLogger } from '../core/logging.js';
+import { createMetrics } from '../core/metrics.js';
+import { SystemTimers } from '../core/timers.js';
+import { createDeferred } from '../core/utilities.js';
+import { Gateway } from '../gateway/gateway.js';
+import { HttpPeerClient } from '../peers/peerRpc.js';
+import type { DeploymentSettings } from '../types/gateway.js';
+import { brandId, type Incarnation } from '../types/ids.js';
+import { parseCommandArgs, type Command, type Output } from './command.js';
+import { exitCodes, type ExitCode } from './exitCodes.js';
+
+const help = `Usage: shallotrock gateway [--settings FILE] [--log-level LEVEL]
+
+Runs a gateway on the platform until SIGTERM or SIGINT; then it takes no new connections, lets calls in
+flight end and exits within the platform's grace. SIGHUP is noted and changes nothing. Without --settings the
+platform's environment names the file. Logs go to standard error.
+
+Exit codes: 0 stopped; 2 an error in the settings
+`;
+
+/** The command. */
+export const gatewayCommand: Command = {
+  name: 'gateway',
+  summary: 'run a gateway on the platform',
+  help,
+  run: runGateway,
+};
+
+// Gateways listen to each other on the platform's inner network only; the signature keeps other traffic apart.
+const DEFAULT_SHARED_KEY = 'shallotrock-gateway-peers';
+
+async function runGateway(args: readonly string[], output: Output): Promise<ExitCode> {
+  const { values } = parseCommandArgs(args, {
+    settings: { type: 'string' },
+    'log-level': { type: 'string' },
+  });
+  const file = (values.settings as string | undefined) ?? getSettingsFile();
+  if (file === undefined) {
+    output.error('error 8002: no settings file: give --settings FILE');
+    return exitCodes.usage;
+  }
+  const deployment = readDeployment(file);
+  if (deployment.err) {
+    output.error(`error 7002: ${deployment.val}`);
+    return exitCodes.usage;
+  }
+  const level = values['log-level'] as string | undefined;
+  const { gateway, closeClients } = createGateway(deployment.val, level);
+  await gateway.start();
+  await waitForSignal();
+  await gateway.stop();
+  await closeClients();
+  return exitCodes.ok;
+}
+
+/** A gateway with what closes its connections to other systems. */
+export interface CreatedGateway {
+  readonly gateway: Gateway;
+  readonly closeClients: () => Promise<void>;
+}
+
+/** Creates a gateway on the machine's clock and sockets. */
+export function createGateway(deployment: DeploymentSettings, level?: string): CreatedGateway {
+  const timers = new SystemTimers();
+  const logger = createLogger({ level, fields: { vm: deployment.vm } });
+  process.on('SIGHUP', () => logger.info('settings changed', { signal: 'SIGHUP' }));
+  const store = new StoreClient({ address: deployment.storeAddress, timers });
+  const closers = [() => store.close()];
+  const gateway = new Gateway({
+    deployment,
+    platform: {
+      store,
+      codec: new PlatformHeaders(),
+      decodeConfig: decodeGatewayConfig,
+      decodeEndpoint: decodeEndpointEntry,
+      configTopic: { name: topics.operator, part: 0 },
+      configKey: CONFIG_KEY,
+      endpointTopic: { name: topics.endpoints, part: 0 },
+      accountTopic: topics.accounts,
+      readinessPath: READINESS_PATH,
+    },
+    timers,
+    logger,
+    metrics: createMetrics(),
+    run: createRun(deployment.vm),
+    sharedKey: DEFAULT_SHARED_KEY,
+    createPeerClient: (getAddress) => {
+      const client = new HttpPeerClient({ sharedKey: DEFAULT_SHARED_KEY, getAddress });
+      closers.push(() => client.close());
+      return client;
+    },
+  });
+  const closeClients = async () => {
+    await Promise.all(closers.map((close) => close()));
+  };
+  return { gateway, closeClients };
+}
+
+/** Two processes of a vm must never share a name, also where random numbers repeat after a restart. */
+function createRun(vm: string): Incarnation {
+  const clock = process.hrtime.bigint().toString(36);
+  return brandId(`${vm}-${clock}-${randomBytes(4).toString('hex')}`);
+}
+
+function waitForSignal(): Promise<void> {
+  const signalled = createDeferred<void>();
+  (['SIGTERM', 'SIGINT'] as const).forEach((signal) => {
+    process.once(signal, () => signalled.resolve());
+  });
+  return signalled.promise;
+}
--- a/src/commands/main.ts
+++ b/src/commands/main.ts
@@ -1,20 +1,47 @@
 /** The command line: finds the command and turns errors into exit codes. */
 import { readFileSync } from 'node:fs';
 import { getErrorMessage } from '../core/utilities.js';
-import { auditCommand } from './auditCommand.js';
-import { budgetsCommand } from './budgetsCommand.js';
 import { UsageError, type Command, type Output } from './command.js';
-import { configCommand } from './configCommand.js';
 import { exitCodes, type ExitCode } from './exitCodes.js';
-import { routerCommand } from './routerCommand.js';
-import { rulesCommand } from './rulesCommand.js';
 
-const commands: readonly Command[] = [
-  routerCommand,
-  rulesCommand,
-  budgetsCommand,
-  auditCommand,
-  configCommand,
+/** A command by name, loaded when it is used: a gateway starts in less time without the parts of the others. */
+interface CommandEntry {
+  readonly name: string;
+  readonly summary: string;
+  readonly load: () => Promise<Command>;
+}
+
+const commands: readonly CommandEntry[] = [
+  {
+    name: 'gateway',
+    summary: 'run a gateway on the platform',
+    load: async () => (await import('./gatewayCommand.js')).gatewayCommand,
+  },
+  {
+    name: 'router',
+    summary: 'run a router',
+    load: async () => (await import('./routerCommand.js')).routerCommand,
+  },
+  {
+    name: 'rules',
+    summary: 'check, compare, apply and show the rules',
+    load: async () => (await import('./rulesCommand.js')).rulesCommand,
+  },
+  {
+    name: 'budgets',
+    summary: 'show what is funded, granted and spent',
+    load: async () => (await import('./budgetsCommand.js')).budgetsCommand,
+  },
+  {
+    name: 'audit',
+    summary: 'check the promises against the log',
+    load: async () => (await import('./auditCommand.js')).auditCommand,
+  },
+  {
+    name: 'config',
+    summary: 'check a settings file',
+    load: async () => (await import('./configCommand.js')).configCommand,
+  },
 ];
 
 const PACKAGE_FILE = new URL('../../../package.json', import.meta.url);
@@ -31,10 +58,11 @@
     output.out(JSON.parse(readFileSync(PACKAGE_FILE, 'utf8')).version);
     return exitCodes.ok;
   }
-  const command = commands.find((candidate) => candidate.name === name);
-  if (!command) {
+  const entry = commands.find((candidate) => candidate.name === name);
+  if (!entry) {
     return printOverview(name, output);
   }
+  const command = await entry.load();
   if (rest.includes('--help') || rest.includes('-h')) {
     output.out(command.help);
     return exitCodes.ok;
--- a/src/commands/routerCommand.ts
+++ b/src/commands/routerCommand.ts
@@ -5,9 +5,9 @@
 import { SystemTimers } from '../core/timers.js';
 import { createDeferred } from '../core/utilities.js';
 import { HttpPeerClient } from '../peers/peerRpc.js';
-import { HttpEndpointClient } from '../platform/httpEndpointClient.js';
-import { HttpLog } from '../platform/httpLog.js';
-import { HttpVmList } from '../platform/httpVmList.js';
+import { HttpEndpointClient } from '../transports/httpEndpointClient.js';
+import { HttpLog } from '../transports/httpLog.js';
+import { HttpVmList } from '../transports/httpVmList.js';
 import { Router } from '../router.js';
 import { getRequired, parseCommandArgs, type Command, type Output } from './command.js';
 import { exitCodes, type ExitCode } from './exitCodes.js';
--- a/src/commands/rulesCommand.ts
+++ b/src/commands/rulesCommand.ts
@@ -12,7 +12,6 @@
 import { createEdit, getRulesLines, RulesSession } from '../rules/editor.js';
 import {
   getRequired,
-  openLog,
   parseCommandArgs,
   reportUnavailable,
   UsageError,
@@ -21,6 +20,7 @@
   type Output,
 } from './command.js';
 import { exitCodes, type ExitCode } from './exitCodes.js';
+import { openLog } from './openLog.js';
 
 const help = `Usage: shallotrock rules ACTION [FILE] [options]
 
--- a/src/controllers/budgetAllotment.ts
+++ b/src/controllers/budgetAllotment.ts
@@ -19,7 +19,7 @@
 
 /** How many of the largest recent holds the allotment keeps in reserve. */
 const RESERVED_HOLDS = 2;
-/** Time constant of the rate that follows a surge, in milliseconds. */
+/** Default time constant of the rate that follows a surge, in milliseconds. */
 const RECENT_MS = 30_000;
 /** How long a need that went unmet is refused at once, in milliseconds. */
 const STARVED_MS = 1_000;
@@ -46,7 +46,7 @@
   readonly waiters: HoldWaiter[] = [];
 
   /** What is spent now, and what was spent over the horizon: the first rises fast, the second stays. */
-  private readonly recentRate = new SpendRate(RECENT_MS);
+  private readonly recentRate: SpendRate;
 
   private readonly horizonRate: SpendRate;
 
@@ -66,12 +66,17 @@
 
   private starvedUntil = 0;
 
-  /** `horizonMs` is how much spending the allotment covers, in milliseconds. */
+  /**
+   * `horizonMs` is how much spending the allotment covers, `recentMs` the time constant of the rate that
+   * follows a surge, both in milliseconds.
+   */
   constructor(
     readonly budget: BudgetId,
     private readonly horizonMs: number,
+    recentMs = RECENT_MS,
   ) {
-    this.horizonRate = new SpendRate(Math.max(horizonMs, RECENT_MS));
+    this.recentRate = new SpendRate(recentMs);
+    this.horizonRate = new SpendRate(Math.max(horizonMs, recentMs));
   }
 
   /** Takes a hold where the free tokens cover it and nobody waits before it. */
--- a/src/controllers/peerController.ts
+++ b/src/controllers/peerController.ts
@@ -48,7 +48,7 @@
   }
 
   /** Returns what answers peers. */
-  createHandlers(): PeerHandlers {
+  createHandlers(): Omit<PeerHandlers, 'gateway.state'> {
     const { transfers, rules } = this.options;
     return {
       'peer.probe': (message) => {
--- a/src/controllers/suspectController.ts
+++ b/src/controllers/suspectController.ts
@@ -5,16 +5,24 @@
 import { LRUCache } from 'lru-cache';
 import type { Suspect } from '../types/peers.js';
 
-/** Deaths after which a body is refused. */
+/** Default number of deaths after which a body is refused. */
 export const POISON_DEATHS = 2;
 
 const REMEMBERED_SUSPECTS = 1_000;
 const GOSSIPED_SUSPECTS = 20;
 
+/** Options of the controller. */
+export interface SuspectControllerOptions {
+  /** Deaths after which a body is refused. Default 2. */
+  readonly poisonDeaths?: number;
+}
+
 /** The suspects that this process knows, by body digest. */
 export class SuspectController {
   private readonly deaths = new LRUCache<string, number>({ max: REMEMBERED_SUSPECTS });
 
+  constructor(private readonly options: SuspectControllerOptions = {}) {}
+
   /** Called for each new death with the suspects that it made, to tell peers at once. */
   onDeath: (suspects: readonly Suspect[]) => void = () => {};
 
@@ -35,7 +43,8 @@
 
   /** Returns whether the body has crashed so many endpoints that it must not run again. */
   isPoison(digest: string): boolean {
-    return (this.deaths.get(digest) ?? 0) >= POISON_DEATHS;
+    const { poisonDeaths = POISON_DEATHS } = this.options;
+    return (this.deaths.get(digest) ?? 0) >= poisonDeaths;
   }
 
   /** Returns whether the body was on an endpoint that died. */
--- a/src/core/codes.ts
+++ b/src/core/codes.ts
@@ -87,6 +87,13 @@
     'not_run',
     'A header has a value that can not be used.',
   ),
+  headersTooLarge: entry(
+    1014,
+    431,
+    'invalid_request_error',
+    'not_run',
+    'The headers are over the size limit.',
+  ),
   bodyTimeout: entry(
     1011,
     408,
@@ -122,6 +129,20 @@
     'not_run',
     'The budget can not be drawn on while the log is out of reach.',
   ),
+  balanceTooLow: entry(
+    2003,
+    402,
+    'insufficient_quota',
+    'not_run',
+    'The log shows that what is left of the prepaid total does not cover the request.',
+  ),
+  tokensLent: entry(
+    2004,
+    503,
+    'server_error',
+    'not_run',
+    'This router has too few tokens of the budget at hand.',
+  ),
   queueFull: entry(
     3001,
     429,
@@ -186,6 +207,13 @@
     'not_run',
     'The endpoint refused the request before running it.',
   ),
+  retryBudgetSpent: entry(
+    4007,
+    503,
+    'server_error',
+    'not_run',
+    'The endpoints refused the request and no further retry is allowed now.',
+  ),
   claimUnavailable: entry(
     5001,
     503,
--- a/src/core/timers.ts
+++ b/src/core/timers.ts
@@ -57,10 +57,13 @@
   }
 }
 
-/** The machine's clock and timers. */
+/**
+ * The machine's timers on its steady clock: the time of day may jump while a process runs, and deadlines
+ * must not.
+ */
 export class SystemTimers extends TimerService {
   override now(): number {
-    return Date.now();
+    return performance.timeOrigin + performance.now();
   }
 
   override subscribe(delayMs: number, listener: () => void): Unsubscribe {
--- /dev/null
+++ b/src/escrow/escrowController.ts
@@ -0,0 +1,180 @@
+/** Takes tokens out of this process's allotments for requests, and moves them between peers while the store is away. */
+import type { Logger } from '../core/logging.js';
+import type { TimerService } from '../core/timers.js';
+import { createRefusal, type Refusal } from '../core/codes.js';
+import { createDeferred, getErrorMessage, getHash32 } from '../core/utilities.js';
+import type { BudgetId } from '../types/ids.js';
+import type { Account, AccountShard } from './accountShard.js';
+
+/** Asks peers for tokens of a budget; returns how many came. */
+export type TokenRequest = (budget: BudgetId, need: number, want: number) => Promise<number>;
+
+/** Options of the controller. */
+export interface EscrowControllerOptions {
+  readonly timers: TimerService;
+  readonly logger: Logger;
+  readonly shards: readonly AccountShard[];
+  readonly requestFromPeers: TokenRequest;
+  /** Default 250 ms. */
+  readonly holdWaitMs?: number;
+}
+
+/** Tokens set aside for one request. */
+export interface TokenHold {
+  readonly budget: BudgetId;
+  readonly tokens: number;
+  /** Ends the hold with what was used; the rest is free again. Repeats do nothing. */
+  readonly settle: (used: number) => void;
+}
+
+/** Whether tokens were set aside. */
+export type HoldResult =
+  | { readonly kind: 'held'; readonly hold: TokenHold }
+  | { readonly kind: 'refused'; readonly refusal: Refusal };
+
+const HOLD_WAIT_MS = 250; // two appends with a collision; a caller's target is 300 ms and more
+const LENT_COME_BACK_MS = 800; // holders look at what others lack twice in this time
+const AWAY_COME_BACK_MS = 1_500;
+const PEER_WANT_FACTOR = 4; // asks for some requests at once, so that peers are not asked for each
+
+/** All budgets of this process. */
+export class EscrowController {
+  constructor(private readonly options: EscrowControllerOptions) {}
+
+  /** Starts every shard. */
+  start(): void {
+    this.options.shards.forEach((shard) => shard.start());
+  }
+
+  /** Gives back what is free. */
+  async stop(): Promise<void> {
+    await Promise.all(this.options.shards.map((shard) => shard.stop()));
+  }
+
+  /** Returns whether every account is known. */
+  isProven(): boolean {
+    return this.options.shards.every((shard) => shard.isProven());
+  }
+
+  /** Returns whether the budget is limited at all. */
+  isLimited(budget: BudgetId): boolean {
+    return this.getShard(budget).getTotal(budget) !== undefined;
+  }
+
+  /** Tells the shards that totals may have changed. */
+  onTotalsChanged(): void {
+    this.options.shards.forEach((shard) => shard.requestSync());
+  }
+
+  /**
+   * Sets tokens aside, waiting a moment for the store or for peers.
+   *
+   * @example
+   * const result = await escrow.hold(budget, 1_200);
+   * if (result.kind === 'held') result.hold.settle(900);
+   */
+  async hold(budget: BudgetId, tokens: number): Promise<HoldResult> {
+    const shard = this.getShard(budget);
+    const account = shard.getAccount(budget);
+    const now = this.options.timers.now();
+    if (account.allotment.tryHold(tokens, now)) {
+      return this.createHold(account, tokens);
+    }
+    if (account.allotment.isStarved(tokens, now)) {
+      return this.refuse(shard, budget, tokens);
+    }
+    if (await this.waitForTokens(shard, account, tokens)) {
+      return this.createHold(account, tokens);
+    }
+    account.allotment.recordStarved(tokens, this.options.timers.now());
+    account.lacking = Math.max(account.lacking, tokens);
+    shard.requestSync();
+    return this.refuse(shard, budget, tokens);
+  }
+
+  /** Takes free tokens out for a peer and returns how many; they count as spent here. */
+  lendTokens(budget: BudgetId, need: number, want: number): number {
+    const { allotment } = this.getShard(budget).getAccount(budget);
+    const spare = Math.max(0, Math.floor((allotment.free - allotment.largestHold) / 2));
+    const tokens = spare >= need ? allotment.withdraw(Math.min(want, spare)) : 0;
+    allotment.sent += tokens;
+    this.options.logger.info('tokens lent', { budget, need, want, tokens, free: allotment.free });
+    return tokens;
+  }
+
+  private getShard(budget: BudgetId): AccountShard {
+    const { shards } = this.options;
+    return shards[getHash32(budget) % shards.length]!;
+  }
+
+  private async waitForTokens(
+    shard: AccountShard,
+    account: Account,
+    tokens: number,
+  ): Promise<boolean> {
+    const { timers, holdWaitMs = HOLD_WAIT_MS } = this.options;
+    const granted = createDeferred<boolean>();
+    const waiter = { need: tokens, finish: granted.resolve };
+    account.allotment.waiters.push(waiter);
+    if (shard.isStoreAway()) {
+      this.askPeers(account, tokens);
+    }
+    shard.requestSync();
+    const cancel = timers.subscribe(holdWaitMs, () => granted.resolve(false));
+    const isGranted = await granted.promise;
+    cancel();
+    const index = account.allotment.waiters.indexOf(waiter);
+    if (index >= 0) {
+      account.allotment.waiters.splice(index, 1);
+      // Those behind it may need less.
+      account.allotment.credit(0);
+    }
+    return isGranted;
+  }
+
+  private askPeers({ allotment }: Account, need: number): void {
+    const { requestFromPeers, logger } = this.options;
+    requestFromPeers(allotment.budget, need, need * PEER_WANT_FACTOR)
+      .then((tokens) => {
+        if (tokens > 0) {
+          allotment.received += tokens;
+          allotment.credit(tokens);
+          logger.info('tokens received', { budget: allotment.budget, need, tokens });
+        }
+      })
+      .catch((error: unknown) => {
+        logger.warn('peers gave no tokens', {
+          budget: allotment.budget,
+          detail: getErrorMessage(error),
+        });
+      });
+  }
+
+  private createHold(account: Account, tokens: number): HoldResult {
+    const { allotment } = account;
+    const { timers } = this.options;
+    let isOpen = true;
+    const settle = (used: number) => {
+      if (isOpen) {
+        isOpen = false;
+        allotment.settle(tokens, used, timers.now());
+      }
+    };
+    return { kind: 'held', hold: { budget: allotment.budget, tokens, settle } };
+  }
+
+  /** Says that the balance is too low only where the store proves it. */
+  private refuse(shard: AccountShard, budget: BudgetId, tokens: number): HoldResult {
+    const total = shard.getTotal(budget)?.tokens ?? 0;
+    const spent = shard.getCertainlySpent(budget);
+    const inputs = `need ${tokens}, total ${total}, spent ${spent}, claimed ${shard.ledger.getClaimed(budget)}`;
+    if (spent + tokens > total) {
+      return { kind: 'refused', refusal: createRefusal('balanceTooLow', { detail: inputs }) };
+    }
+    const retryAfterMs = shard.isStoreAway() ? AWAY_COME_BACK_MS : LENT_COME_BACK_MS;
+    return {
+      kind: 'refused',
+      refusal: createRefusal('tokensLent', { detail: inputs, retryAfterMs }),
+    };
+  }
+}
--- /dev/null
+++ b/src/escrow/holderRecord.ts
@@ -0,0 +1,75 @@
+/**
+ * The account of one holder as it stands in the store: its whole state in one record, so that the newest
+ * record of each holder is all that anybody needs, however long the history is kept.
+ */
+import { decode, encode } from '@msgpack/msgpack';
+import { z } from 'zod';
+import { Err, Ok, type Result } from '../core/results.js';
+import { getErrorMessage } from '../core/utilities.js';
+import type { BudgetId, Incarnation } from '../types/ids.js';
+
+/** What one holder says of one budget. Amounts are in tokens and count from the vm's first process on. */
+export interface HolderBalance {
+  /** The most that this vm's processes have spent or may still spend. */
+  readonly claimed: number;
+  /** What they have certainly spent. */
+  readonly settled: number;
+  /** What a request here lacks and the budget could not give; 0 for none. */
+  readonly wanted: number;
+  /** The prepaid total as of a version of the configuration. */
+  readonly total: number;
+  readonly totalVersion: number;
+}
+
+/** The account of one vm. */
+export interface HolderRecord {
+  readonly run: Incarnation;
+  /** Counts the records of one run, from 1. */
+  readonly sequence: number;
+  /** Where peers reach the holder, as HOST:PORT. */
+  readonly address: string;
+  readonly balances: ReadonlyMap<BudgetId, HolderBalance>;
+}
+
+const FORMAT = 1;
+const amount = z.int();
+const balanceSchema = z.tuple([z.string(), amount, amount, amount, amount, amount]);
+const recordSchema = z.tuple([
+  z.literal(FORMAT),
+  z.string(),
+  z.int().min(1),
+  z.string(),
+  z.array(balanceSchema),
+]);
+
+/** Encodes a record. */
+export function encodeHolderRecord(record: HolderRecord): Uint8Array {
+  const { run, sequence, address, balances } = record;
+  const rows = [...balances].map(([budget, balance]) => {
+    const { claimed, settled, wanted, total, totalVersion } = balance;
+    return [budget, claimed, settled, wanted, total, totalVersion];
+  });
+  return encode([FORMAT, run, sequence, address, rows]);
+}
+
+/** Decodes a record; an error says what is malformed. */
+export function decodeHolderRecord(bytes: Uint8Array): Result<HolderRecord, string> {
+  try {
+    const parsed = recordSchema.safeParse(decode(bytes));
+    if (!parsed.success) {
+      return Err(
+        parsed.error.issues.map(({ path, message }) => `${path.join('.')}: ${message}`)[0]!,
+      );
+    }
+    const [, run, sequence, address, rows] = parsed.data;
+    const balances = new Map(
+      rows.map(([budget, claimed, settled, wanted, total, totalVersion]) => [
+        budget as BudgetId,
+        { claimed, settled, wanted, total, totalVersion },
+      ]),
+    );
+    return Ok({ run: run as Incarnation, sequence, address, balances });
+  } catch (error) {
+    return Err(getErrorMessage(error));
+  }
+}
--- /dev/null
+++ b/src/escrow/ledger.ts
@@ -0,0 +1,60 @@
+/** What the store shows of all holders: the sums that claims are judged by. */
+import type { BudgetId, VmId } from '../types/ids.js';
+import type { HolderRecord } from './holderRecord.js';
+
+/** A prepaid total as of a version of the configuration. */
+export interface VersionedTotal {
+  readonly tokens: number;
+  readonly version: number;
+}
+
+/** The newest record of each holder, as of an offset of the topic. */
+export class Ledger {
+  readonly holders = new Map<VmId, HolderRecord>();
+
+  /** Takes a holder's newest record in. */
+  apply(holder: VmId, record: HolderRecord): void {
+    this.holders.set(holder, record);
+  }
+
+  /** Forgets everything, before the newest records are read again. */
+  clear(): void {
+    this.holders.clear();
+  }
+
+  /** Returns what all holders together have spent or may spend. */
+  getClaimed(budget: BudgetId): number {
+    return this.sum(budget, 'claimed');
+  }
+
+  /** Returns what all holders have certainly spent. */
+  getSettled(budget: BudgetId): number {
+    return this.sum(budget, 'settled');
+  }
+
+  /** Returns what holders other than one lack. */
+  getWantedByOthers(budget: BudgetId, holder: VmId): number {
+    const own = this.holders.get(holder)?.balances.get(budget)?.wanted ?? 0;
+    return this.sum(budget, 'wanted') - own;
+  }
+
+  /** Returns the total by the newest configuration that any holder or the given one knows. */
+  getTotal(budget: BudgetId, known: VersionedTotal | undefined): VersionedTotal | undefined {
+    let newest = known;
+    this.holders.forEach(({ balances }) => {
+      const balance = balances.get(budget);
+      if (balance && balance.totalVersion > (newest?.version ?? -1)) {
+        newest = { tokens: balance.total, version: balance.totalVersion };
+      }
+    });
+    return newest;
+  }
+
+  private sum(budget: BudgetId, field: 'claimed' | 'settled' | 'wanted'): number {
+    let sum = 0;
+    this.holders.forEach(({ balances }) => {
+      sum += balances.get(budget)?.[field] ?? 0;
+    });
+    return sum;
+  }
+}
--- a/src/filters/chain.ts
+++ b/src/filters/chain.ts
@@ -1,12 +1,12 @@
 /** Runs a request through the filters in order. */
 import { Ok } from '../core/results.js';
-import type { Exchange, Filter, FilterResult } from '../types/exchange.js';
+import type { Filter, FilterResult } from '../types/exchange.js';
 import type { Metrics } from '../core/metrics.js';
 import type { TimerService } from '../core/timers.js';
 
 /** Options of a chain. */
-export interface ChainOptions {
-  readonly filters: readonly Filter[];
+export interface ChainOptions<Subject> {
+  readonly filters: readonly Filter<Subject>[];
   readonly timers: TimerService;
   readonly metrics: Metrics;
 }
@@ -19,7 +19,10 @@
  * const result = await runChain({ filters, timers, metrics }, exchange);
  * if (result.err) respond(result.val);
  */
-export function runChain(options: ChainOptions, exchange: Exchange): Promise<FilterResult> {
+export function runChain<Subject>(
+  options: ChainOptions<Subject>,
+  subject: Subject,
+): Promise<FilterResult> {
   const { filters, timers, metrics } = options;
   const run = async (index: number): Promise<FilterResult> => {
     const filter = filters[index];
@@ -28,7 +31,7 @@
     }
     const startedAt = timers.now();
     let innerMs = 0;
-    const result = await filter.handle(exchange, async () => {
+    const result = await filter.handle(subject, async () => {
       const innerStartedAt = timers.now();
       const inner = await run(index + 1);
       innerMs += timers.now() - innerStartedAt;
--- /dev/null
+++ b/src/gateway/filters/authenticateKey.ts
@@ -0,0 +1,23 @@
+/** Finds the workspace that holds the caller's key, by the configuration in force at this moment. */
+import { createRefusal } from '../../core/codes.js';
+import { Err } from '../../core/results.js';
+import { Filter, type FilterResult } from '../../types/exchange.js';
+import type { GatewayCall } from '../call.js';
+
+/** Sets `workspace`. */
+export class AuthenticateKey extends Filter<GatewayCall> {
+  override readonly name = 'authenticateKey';
+
+  override async handle(
+    call: GatewayCall,
+    next: () => Promise<FilterResult>,
+  ): Promise<FilterResult> {
+    const { workspacesByKey } = call.config;
+    const { keyHash } = call.facts;
+    call.workspace = keyHash === undefined ? undefined : workspacesByKey?.get(keyHash);
+    if (workspacesByKey && !call.route.isPublic && !call.workspace) {
+      return Err(createRefusal('invalidKey'));
+    }
+    return next();
+  }
+}
--- /dev/null
+++ b/src/gateway/forward/endpointAgent.ts
@@ -0,0 +1,54 @@
+/** Connections to endpoints, kept for reuse while nothing unexpected arrives on them. */
+import { Agent, type AgentOptions, type ClientRequest } from 'node:http';
+import type { Duplex } from 'node:stream';
+import type { Socket } from 'node:net';
+
+const IDLE_MS = 4_000; // longer than the gaps between calls to one endpoint at a usual load
+const IDLE_MARGIN_MS = 500; // an endpoint that closes an idle connection may cross with a call on it
+
+interface IdleGuard {
+  readonly onData: () => void;
+}
+
+/**
+ * An agent whose idle connections are watched: bytes that arrive on one belong to no call, and a connection
+ * that carried them is not used again.
+ */
+export class EndpointAgent extends Agent {
+  private readonly guards = new WeakMap<Duplex, IdleGuard>();
+
+  constructor(options: AgentOptions = {}) {
+    super({ keepAlive: true, scheduling: 'lifo', timeout: IDLE_MS, ...options });
+  }
+
+  // Node calls this for each connection that an answer leaves free.
+  override keepSocketAlive(socket: Duplex): boolean {
+    const inherited = Agent.prototype as unknown as {
+      keepSocketAlive: (this: Agent, socket: Duplex) => boolean;
+    };
+    if (!inherited.keepSocketAlive.call(this, socket) || socket.readableLength > 0) {
+      return false;
+    }
+    const { timeout = IDLE_MS } = socket as Socket;
+    (socket as Socket).setTimeout(Math.max(1, Math.min(IDLE_MS, timeout - IDLE_MARGIN_MS)));
+    const onData = () => {
+      socket.destroy();
+    };
+    this.guards.set(socket, { onData });
+    socket.on('data', onData);
+    return true;
+  }
+
+  // Node calls this before a kept connection is used again.
+  override reuseSocket(socket: Duplex, request: ClientRequest): void {
+    const guard = this.guards.get(socket);
+    if (guard) {
+      socket.off('data', guard.onData);
+      this.guards.delete(socket);
+    }
+    const inherited = Agent.prototype as unknown as {
+      reuseSocket: (this: Agent, socket: Duplex, request: ClientRequest) => void;
+    };
+    inherited.reuseSocket.call(this, socket, request);
+  }
+}
--- /dev/null
+++ b/src/gateway/forward/endpointCall.ts
@@ -0,0 +1,94 @@
+/** One call on one connection of an endpoint. */
+import { request, type Agent, type ClientRequest, type IncomingMessage } from 'node:http';
+import type { Socket } from 'node:net';
+import type { TimerService, Unsubscribe } from '../../core/timers.js';
+import type { Address } from '../../types/gateway.js';
+
+/** Options of a call. */
+export interface EndpointCallOptions {
+  readonly agent: Agent;
+  readonly timers: TimerService;
+  readonly address: Address;
+  readonly method: string;
+  readonly target: string;
+  /** Name and value in turn. */
+  readonly headers: readonly string[];
+  readonly body: Buffer;
+  /** Longest wait for a connection. Default 400 ms. */
+  readonly connectTimeoutMs?: number;
+}
+
+/** What came of sending a call. */
+export type SendResult =
+  | { readonly kind: 'answered'; readonly answer: IncomingMessage }
+  /** No connection came about: the call certainly did not run. */
+  | { readonly kind: 'unreachable'; readonly detail: string }
+  /** The connection ended before an answer; the call may have run. */
+  | { readonly kind: 'broken'; readonly detail: string }
+  | { readonly kind: 'aborted' };
+
+const CONNECT_TIMEOUT_MS = 400; // a dark endpoint must not use up a target of 300 ms and more than once
+
+/** A call in progress. It ends by its answer, a failure, or `abort`. */
+export class EndpointCall {
+  private readonly outgoing: ClientRequest;
+
+  private isConnected = false;
+
+  private isAborted = false;
+
+  private cancelConnect: Unsubscribe = () => {};
+
+  /** Resolves once, with the head of the answer or how the call failed. */
+  readonly sent: Promise<SendResult>;
+
+  constructor(private readonly options: EndpointCallOptions) {
+    const { agent, address, method, target, headers, body } = options;
+    // Headers as an array go out as they are, in their order.
+    this.outgoing = request({
+      host: address.host,
+      port: address.port,
+      agent,
+      method,
+      path: target,
+      headers: headers as never,
+    });
+    this.sent = new Promise((resolve) => {
+      this.outgoing.on('socket', (socket: Socket) => this.watchSocket(socket));
+      this.outgoing.on('response', (answer) => resolve({ kind: 'answered', answer }));
+      this.outgoing.on('error', (error: Error) => resolve(this.getFailure(error.message)));
+      this.outgoing.on('close', () => resolve(this.getFailure('the connection was closed')));
+    });
+    this.outgoing.end(body.length > 0 ? body : undefined);
+  }
+
+  /** Drops the connection, so that the endpoint stops its work. */
+  abort(): void {
+    this.isAborted = true;
+    this.outgoing.destroy();
+  }
+
+  private watchSocket(socket: Socket): void {
+    const { timers, connectTimeoutMs = CONNECT_TIMEOUT_MS } = this.options;
+    socket.setNoDelay(true);
+    if (!socket.connecting) {
+      this.isConnected = true;
+      return;
+    }
+    this.cancelConnect = timers.subscribe(connectTimeoutMs, () => {
+      this.outgoing.destroy(new Error(`no connection within ${connectTimeoutMs} ms`));
+    });
+    socket.once('connect', () => {
+      this.isConnected = true;
+      this.cancelConnect();
+    });
+    this.outgoing.once('close', () => this.cancelConnect());
+  }
+
+  private getFailure(detail: string): SendResult {
+    if (this.isAborted) {
+      return { kind: 'aborted' };
+    }
+    return { kind: this.isConnected ? 'broken' : 'unreachable', detail };
+  }
+}
--- /dev/null
+++ b/src/gateway/forward/endpointTry.ts
@@ -0,0 +1,219 @@
+/** One try of a call on one endpoint, with what it tells about the endpoint. */
+import type { Agent, IncomingMessage } from 'node:http';
+import type { SuspectController } from '../../controllers/suspectController.js';
+import type { TimerService } from '../../core/timers.js';
+import type { AnswerFacts, HeaderCodec } from '../../types/gateway.js';
+import type { GatewayCall } from '../call.js';
+import type { EndpointDirectory, KnownEndpoint } from '../endpointDirectory.js';
+import { readWholeAnswer, type StreamRelay } from './answerRelay.js';
+import { EndpointCall } from './endpointCall.js';
+import type { TryFailure } from './retryDecision.js';
+
+/** How a try ended. */
+export type TryResult =
+  | { readonly kind: 'done' }
+  | { readonly kind: 'failed'; readonly failure: TryFailure }
+  /** The caller left, or the deadline came. */
+  | { readonly kind: 'aborted' };
+
+/** Options of a try. */
+export interface EndpointTryOptions {
+  readonly timers: TimerService;
+  readonly codec: HeaderCodec;
+  readonly directory: EndpointDirectory;
+  readonly suspects: SuspectController;
+  readonly agent: Agent;
+  readonly call: GatewayCall;
+  readonly endpoint: KnownEndpoint;
+  /** Present where the answer is a stream. */
+  readonly stream: StreamRelay | undefined;
+}
+
+const FULL_MS = 150; // an endpoint that refuses for lack of room has some again after a few answers
+const SERVER_ERROR_STATUS = 500;
+/** Statuses that promise that a call has not run; an endpoint's own word for it is another header. */
+const PROMISING_STATUSES: ReadonlySet<number> = new Set([408, 421, 429, 503]);
+
+/** One try. */
+export class EndpointTry {
+  private readonly sent: EndpointCall;
+
+  private readonly unreadTokens: number;
+
+  private isRead = false;
+
+  private isStopped = false;
+
+  private resolveStopped: () => void = () => {};
+
+  constructor(private readonly options: EndpointTryOptions) {
+    const { call, endpoint, timers, agent } = options;
+    this.unreadTokens = call.facts.tokens?.prompt ?? 0;
+    endpoint.inFlight += 1;
+    endpoint.unreadTokens += this.unreadTokens;
+    this.sent = new EndpointCall({
+      agent,
+      timers,
+      address: endpoint.entry,
+      method: call.method,
+      target: call.target,
+      headers: this.createHeaders(),
+      body: call.body,
+    });
+  }
+
+  /** Resolves when the answer has gone to the caller, or why it has not. */
+  async run(): Promise<TryResult> {
+    const { endpoint } = this.options;
+    const stopped = new Promise<TryResult>((resolve) => {
+      this.resolveStopped = () => resolve({ kind: 'aborted' });
+    });
+    const ended = this.handleAnswer();
+    const release = () => {
+      endpoint.inFlight -= 1;
+      this.recordRead();
+    };
+    ended.then(release, release);
+    return Promise.race([ended, stopped]);
+  }
+
+  /**
+   * Ends the try: the caller left or the deadline came. The endpoint's work is broken off, unless the call may not
+   * be repeated; then only the wait ends.
+   */
+  stop(): void {
+    const { route } = this.options.call;
+    this.isStopped = true;
+    if (route.isStream || route.repeatability !== 'once') {
+      this.sent.abort();
+    }
+    this.resolveStopped();
+  }
+
+  /** Notes that the endpoint has read the prompt. */
+  recordFirstEvent(): void {
+    this.recordRead();
+  }
+
+  private recordRead(): void {
+    if (!this.isRead) {
+      this.isRead = true;
+      this.options.endpoint.unreadTokens -= this.unreadTokens;
+    }
+  }
+
+  private createHeaders(): string[] {
+    const { codec, call, endpoint, timers, stream } = this.options;
+    return codec.createEndpointHeaders(call.facts, {
+      endpoint: endpoint.entry.id,
+      workspace: call.workspace?.name,
+      waitMs: call.deadline - timers.now(),
+      urgency: call.facts.tokens ? getUrgency(call) : undefined,
+      lastEventId: stream?.getLastEventId(),
+      bodyBytes: call.body.length,
+    });
+  }
+
+  private async handleAnswer(): Promise<TryResult> {
+    const sent = await this.sent.sent;
+    switch (sent.kind) {
+      case 'answered':
+        return this.judgeAnswer(sent.answer);
+      case 'aborted':
+        return { kind: 'aborted' };
+      default:
+        return this.fail(sent.kind);
+    }
+  }
+
+  private judgeAnswer(answer: IncomingMessage): Promise<TryResult> {
+    const { codec, call, endpoint, directory, timers } = this.options;
+    const status = answer.statusCode ?? 0;
+    const facts = codec.readAnswer(call.facts.id, status, answer.rawHeaders);
+    if (facts.isCrossed) {
+      return this.reject('crossed');
+    }
+    if (facts.isNotRun) {
+      // Read to its end, the connection can be used again.
+      answer.resume();
+      answer.on('error', () => {});
+      if (facts.isWrongEndpoint) {
+        directory.markEnded(endpoint);
+        return Promise.resolve({ kind: 'failed', failure: 'wrongEndpoint' });
+      }
+      endpoint.fullUntil = timers.now() + FULL_MS;
+      return Promise.resolve({ kind: 'failed', failure: 'refused' });
+    }
+    if ((isSuccess(facts) && !facts.isGenuine) || PROMISING_STATUSES.has(status)) {
+      return this.reject('notGenuine');
+    }
+    return this.options.stream && isSuccess(facts)
+      ? this.relayStream(answer, facts)
+      : this.relayWhole(answer, facts);
+  }
+
+  private async relayStream(answer: IncomingMessage, facts: AnswerFacts): Promise<TryResult> {
+    const { stream, endpoint, timers, suspects, call } = this.options;
+    const end = await stream!.relay(answer, facts);
+    if (end.kind === 'broken') {
+      return this.isStopped ? { kind: 'aborted' } : this.fail('broken');
+    }
+    endpoint.breaker.record(true, timers.now());
+    suspects.recordSuccess(call.digest);
+    return { kind: 'done' };
+  }
+
+  private async relayWhole(answer: IncomingMessage, facts: AnswerFacts): Promise<TryResult> {
+    const { call, endpoint, timers, suspects } = this.options;
+    const body = await readWholeAnswer(answer);
+    if (!body) {
+      return this.isStopped ? { kind: 'aborted' } : this.fail('broken');
+    }
+    if (facts.status >= SERVER_ERROR_STATUS && this.maySucceedElsewhere()) {
+      return this.fail('serverError');
+    }
+    endpoint.breaker.record(true, timers.now());
+    suspects.recordSuccess(call.digest);
+    if (this.isStopped || call.caller.isStarted()) {
+      return { kind: 'aborted' };
+    }
+    call.caller.send(facts.status, facts.passedHeaders, body);
+    return { kind: 'done' };
+  }
+
+  /** An endpoint's own failure goes to the caller where no other endpoint may run the call. */
+  private maySucceedElsewhere(): boolean {
+    const { call, directory, endpoint } = this.options;
+    const others = directory.getEndpoints(call.service).filter((other) => other !== endpoint);
+    return (
+      call.route.repeatability !== 'once' &&
+      !call.mayHaveRun &&
+      call.route.attempts > 1 &&
+      others.length > 0
+    );
+  }
+
+  /** Ends the use of a connection whose bytes can't be trusted. */
+  private reject(failure: TryFailure): Promise<TryResult> {
+    this.sent.abort();
+    return Promise.resolve(this.fail(failure));
+  }
+
+  private fail(failure: TryFailure): TryResult {
+    const { endpoint, timers, suspects, call } = this.options;
+    endpoint.breaker.record(false, timers.now());
+    if (failure === 'broken' && call.facts.tokens) {
+      suspects.recordDeath([call.digest]);
+    }
+    return { kind: 'failed', failure };
+  }
+}
+
+function isSuccess({ status }: AnswerFacts): boolean {
+  return status >= 200 && status < 300;
+}
+
+/** The rank of the workspace goes before that of the route; engines put 0 first. */
+function getUrgency({ workspace, route }: GatewayCall): number {
+  return Math.max(0, Math.min(9, workspace?.rank ?? route.rank));
+}
--- /dev/null
+++ b/src/gateway/forward/eventSplitter.ts
@@ -0,0 +1,51 @@
+/** Splits the bytes of an event stream into whole events. */
+
+/** One whole event, with the blank line that ends it. */
+export interface StreamEvent {
+  readonly bytes: Buffer;
+  /** `undefined` where the event has none. */
+  readonly id: string | undefined;
+}
+
+const LINE_FEED = 0x0a;
+const CARRIAGE_RETURN = 0x0d;
+const ID_FIELD = /(?:^|\n)id: ?([^\r\n]*)/;
+
+/** Collects bytes until an event is whole. */
+export class EventSplitter {
+  private rest: Buffer = Buffer.alloc(0);
+
+  /** Takes bytes in and returns the events that they complete. */
+  push(bytes: Buffer): StreamEvent[] {
+    const data = this.rest.length > 0 ? Buffer.concat([this.rest, bytes]) : bytes;
+    const events: StreamEvent[] = [];
+    let start = 0;
+    for (let end = findEventEnd(data, start); end > 0; end = findEventEnd(data, start)) {
+      const event = data.subarray(start, end);
+      events.push({ bytes: event, id: ID_FIELD.exec(event.toString('latin1'))?.[1] });
+      start = end;
+    }
+    this.rest = data.subarray(start);
+    return events;
+  }
+
+  /** Returns the bytes after the last whole event. */
+  getRest(): Buffer {
+    return this.rest;
+  }
+}
+
+/** Returns the position after the next blank line, 0 where there is none yet. */
+function findEventEnd(data: Buffer, start: number): number {
+  for (
+    let feed = data.indexOf(LINE_FEED, start);
+    feed >= 0;
+    feed = data.indexOf(LINE_FEED, feed + 1)
+  ) {
+    const next = data[feed + 1] === CARRIAGE_RETURN ? feed + 2 : feed + 1;
+    if (data[next] === LINE_FEED) {
+      return next + 1;
+    }
+  }
+  return 0;
+}
--- /dev/null
+++ b/src/gateway/forward/retryDecision.ts
@@ -0,0 +1,57 @@
+/**
+ * Decides whether a call goes to another endpoint. It answers endpoints that refuse, break and hang under load: a
+ * second try must never run a call twice that may run once, nor multiply an overload.
+ */
+import type { Repeatability } from '../../types/gateway.js';
+
+/** How a try on one endpoint ended without an answer for the caller. */
+export type TryFailure =
+  /** It certainly did not run. */
+  | 'unreachable'
+  | 'refused'
+  | 'wrongEndpoint'
+  /** It may have run. */
+  | 'broken'
+  | 'crossed'
+  | 'notGenuine'
+  | 'serverError'
+  | 'silent';
+
+/** What the decision depends on. */
+export interface RetrySituation {
+  readonly failure: TryFailure;
+  readonly repeatability: Repeatability;
+  /** How many endpoints may run the call, and how many may have. */
+  readonly attempts: number;
+  readonly runs: number;
+  /** How many endpoints were tried, runs included. */
+  readonly tries: number;
+  /** Whether events of a stream went to the caller, and the last one can be named. */
+  readonly isStarted: boolean;
+  readonly canResume: boolean;
+  readonly timeLeftMs: number;
+}
+
+const TRIES_MAX = 4;
+/** A try with less time than this is not worth its load. */
+const TIME_LEFT_MIN_MS = 30;
+
+/** Returns whether a failure proves that the call did not run. */
+export function isNotRunFailure(failure: TryFailure): boolean {
+  return failure === 'unreachable' || failure === 'refused' || failure === 'wrongEndpoint';
+}
+
+/** Returns whether another endpoint may be tried; the retry budget has the last word. */
+export function mayTryAgain(situation: RetrySituation): boolean {
+  const { failure, repeatability, attempts, runs, tries, isStarted, canResume } = situation;
+  if (tries >= TRIES_MAX || situation.timeLeftMs < TIME_LEFT_MIN_MS) {
+    return false;
+  }
+  if (isNotRunFailure(failure)) {
+    return !isStarted || canResume;
+  }
+  if (repeatability === 'once' || runs >= attempts) {
+    return false;
+  }
+  return !isStarted || (repeatability === 'resumable' && canResume);
+}
--- /dev/null
+++ b/src/gateway/gateway.ts
@@ -0,0 +1,368 @@
+/** A gateway: opaque calls of many workspaces, passed on to the endpoints that the configuration names. */
+import type { Logger } from '../core/logging.js';
+import type { Metrics } from '../core/metrics.js';
+import type { Result } from '../core/results.js';
+import type { TimerService } from '../core/timers.js';
+import { createRefusal } from '../core/codes.js';
+import { SuspectController } from '../controllers/suspectController.js';
+import { TransferController } from '../controllers/transferController.js';
+import { AccountShard } from '../escrow/accountShard.js';
+import { EscrowController } from '../escrow/escrowController.js';
+import type { VersionedTotal } from '../escrow/ledger.js';
+import { runChain } from '../filters/chain.js';
+import { PeerServer } from '../peers/peerRpc.js';
+import { KeyedFollower } from '../store/keyedFollower.js';
+import type { Filter } from '../types/exchange.js';
+import type {
+  DeploymentSettings,
+  EndpointEntry,
+  GatewayConfig,
+  HeaderCodec,
+} from '../types/gateway.js';
+import { brandId, type BudgetId, type Incarnation, type VmId } from '../types/ids.js';
+import type { PeerClient } from '../types/peers.js';
+import type { KeyedRecord, KeyedStore, Topic } from '../types/store.js';
+import type { CallOutcome, GatewayCall } from './call.js';
+import { ConfigController, type ConfigInForce } from './configController.js';
+import { EndpointDirectory } from './endpointDirectory.js';
+import { AuthenticateKey } from './filters/authenticateKey.js';
+import { ForwardCall } from './filters/forwardCall.js';
+import { HoldTokens } from './filters/holdTokens.js';
+import { MatchRoute } from './filters/matchRoute.js';
+import { RejectSuspect } from './filters/rejectSuspect.js';
+import { GatewayServer } from './gatewayServer.js';
+import { PeerSync } from './peerSync.js';
+
+/** What the platform brings: names, places and codecs. */
+export interface PlatformBinding {
+  readonly store: KeyedStore;
+  readonly codec: HeaderCodec;
+  readonly decodeConfig: (bytes: Uint8Array) => Result<GatewayConfig, string>;
+  readonly decodeEndpoint: (id: string, bytes: Uint8Array) => Result<EndpointEntry, string>;
+  readonly configTopic: Topic;
+  readonly configKey: string;
+  readonly endpointTopic: Topic;
+  readonly accountTopic: string;
+  readonly readinessPath: string;
+}
+
+/** What a gateway is made of. */
+export interface GatewayOptions {
+  readonly deployment: DeploymentSettings;
+  readonly platform: PlatformBinding;
+  readonly timers: TimerService;
+  readonly logger: Logger;
+  readonly metrics: Metrics;
+  readonly run: Incarnation;
+  /** Signs what gateways send each other. */
+  readonly sharedKey: string;
+  readonly createPeerClient: (getAddress: (peer: VmId) => string | undefined) => PeerClient;
+  /** Default 1. */
+  readonly accountShards?: number;
+  /** How much spending an allotment covers, in milliseconds. Default 12,000. */
+  readonly horizonMs?: number;
+  /** In [0, 1). Default `Math.random`. */
+  readonly random?: () => number;
+}
+
+const HORIZON_MS = 12_000; // partitions from the store last up to 9 s, and demand varies
+const POISON_DEATHS = 3; // endpoints also break off innocent calls; a call may crash three before it must stop
+const OUTAGE_GRACE_MS = 2_000; // entries that lapsed with the store are back within this time
+const STOP_CLOSING_MS = 3_200; // the balancer has taken the process out by then, after two missed questions
+const STOP_MARGIN_MS = 500;
+
+/** One gateway process. */
+export class Gateway {
+  readonly config: ConfigController;
+
+  readonly directory: EndpointDirectory;
+
+  readonly escrow: EscrowController;
+
+  readonly server: GatewayServer;
+
+  private readonly suspects = new SuspectController({ poisonDeaths: POISON_DEATHS });
+
+  private readonly shards: readonly AccountShard[];
+
+  private readonly configFollower: KeyedFollower;
+
+  private readonly endpointFollower: KeyedFollower;
+
+  private readonly peerSync: PeerSync;
+
+  private readonly peers: PeerServer;
+
+  private readonly peerClient: PeerClient;
+
+  private readonly forward: ForwardCall;
+
+  private readonly filters: readonly Filter<GatewayCall>[];
+
+  private totals = new Map<BudgetId, VersionedTotal>();
+
+  private isStopping = false;
+
+  constructor(private readonly options: GatewayOptions) {
+    const { logger, timers, platform } = options;
+    this.peerClient = options.createPeerClient((peer) => this.getPeerAddress(peer));
+    this.directory = new EndpointDirectory({ logger, timers });
+    this.config = new ConfigController({
+      logger,
+      decode: platform.decodeConfig,
+      onChange: (config) => this.onConfig(config),
+    });
+    this.shards = this.createShards();
+    this.escrow = this.createEscrow();
+    this.configFollower = this.createConfigFollower();
+    this.endpointFollower = this.createEndpointFollower();
+    this.peerSync = this.createPeerSync();
+    this.forward = this.createForward();
+    this.filters = [
+      new MatchRoute({ getConfig: () => this.config.getInForce(), random: this.getRandom() }),
+      new AuthenticateKey(),
+      new RejectSuspect(this.suspects),
+      new HoldTokens(this.escrow),
+      this.forward,
+    ];
+    this.peers = this.createPeerServer();
+    this.server = this.createServer();
+  }
+
+  /** Starts listening and following the store; resolves with the callers' port. */
+  async start(): Promise<number> {
+    const port = await this.server.listen();
+    this.configFollower.start();
+    this.endpointFollower.start();
+    this.escrow.start();
+    this.peerSync.start();
+    this.options.logger.info('gateway started', { run: this.options.run, port });
+    return port;
+  }
+
+  /**
+   * Stops within the platform's grace: not ready at once, serving what still comes until the balancer has taken
+   * notice, then until the calls in flight have ended.
+   */
+  async stop(): Promise<void> {
+    const { timers, logger, deployment } = this.options;
+    const startedAt = timers.now();
+    this.isStopping = true;
+    this.server.startClosing();
+    logger.info('gateway stopping', { openCalls: this.server.getOpenCalls() });
+    await timers.sleep(Math.min(STOP_CLOSING_MS, deployment.graceMs / 2));
+    const leftMs = deployment.graceMs - STOP_MARGIN_MS - (timers.now() - startedAt);
+    const isDrained = await timers.isDoneWithin(this.server.drain(), leftMs);
+    const settledMs = deployment.graceMs - STOP_MARGIN_MS / 2 - (timers.now() - startedAt);
+    const isSettled = await timers.isDoneWithin(this.escrow.stop(), Math.max(1, settledMs));
+    this.peerSync.stop();
+    this.configFollower.stop();
+    this.endpointFollower.stop();
+    this.server.close();
+    this.forward.close();
+    logger.info('gateway stopped', { isDrained, isSettled, cut: this.server.getOpenCalls() });
+  }
+
+  private getRandom(): () => number {
+    return this.options.random ?? Math.random;
+  }
+
+  private createShards(): AccountShard[] {
+    const { timers, logger, deployment, run, platform, accountShards = 1 } = this.options;
+    const { vm, peerAddress } = deployment;
+    return Array.from(
+      { length: accountShards },
+      (_, part) =>
+        new AccountShard({
+          store: platform.store,
+          topic: { name: platform.accountTopic, part },
+          timers,
+          logger,
+          vm,
+          run,
+          address: `${peerAddress.host}:${peerAddress.port}`,
+          horizonMs: this.options.horizonMs ?? HORIZON_MS,
+          getTotals: () => this.totals,
+          random: this.getRandom(),
+        }),
+    );
+  }
+
+  private createEscrow(): EscrowController {
+    const { timers, logger } = this.options;
+    const transfers = new TransferController({
+      client: this.peerClient,
+      getPeers: () => this.getPeers(),
+      lendTokens: (budget, need, want) =>
+        Promise.resolve(this.escrow.lendTokens(budget, need, want)),
+      receiveTokens: () => {},
+      timeoutMs: 100,
+    });
+    this.transfers = transfers;
+    return new EscrowController({
+      timers,
+      logger,
+      shards: this.shards,
+      requestFromPeers: async (budget, need, want) =>
+        (await transfers.requestTokens(budget, need, want)).tokens,
+    });
+  }
+
+  private transfers!: TransferController;
+
+  private createConfigFollower(): KeyedFollower {
+    const { platform, timers, logger } = this.options;
+    return new KeyedFollower({
+      store: platform.store,
+      topic: platform.configTopic,
+      timers,
+      logger,
+      onListed: () => {},
+      onRecord: ({ key, value }) => {
+        if (key === platform.configKey && value) {
+          this.config.apply(value, 'store');
+        }
+      },
+    });
+  }
+
+  private createEndpointFollower(): KeyedFollower {
+    const { platform, timers, logger } = this.options;
+    return new KeyedFollower({
+      store: platform.store,
+      topic: platform.endpointTopic,
+      timers,
+      logger,
+      onListed: (keys, isAfterOutage) =>
+        this.directory.retain(keys, isAfterOutage ? OUTAGE_GRACE_MS : 0),
+      onRecord: (record) => this.applyEndpointRecord(record),
+    });
+  }
+
+  private applyEndpointRecord({ key, value, offset }: KeyedRecord): void {
+    if (!value) {
+      this.directory.remove(brandId(key), 'entry removed');
+      return;
+    }
+    const entry = this.options.platform.decodeEndpoint(key, value);
+    if (entry.ok) {
+      this.directory.apply(entry.val);
+    } else {
+      // Someone else's bytes: what was known of the id before still holds.
+      this.options.logger.warn('malformed endpoint entry', { key, offset, detail: entry.val });
+    }
+  }
+
+  private createPeerSync(): PeerSync {
+    const { timers, logger } = this.options;
+    return new PeerSync({
+      timers,
+      logger,
+      client: this.peerClient,
+      config: this.config,
+      directory: this.directory,
+      suspects: this.suspects,
+      getPeers: () => this.getPeers(),
+      getStoreFailingMs: () =>
+        Math.max(this.configFollower.getFailingMs(), this.endpointFollower.getFailingMs()),
+    });
+  }
+
+  private createForward(): ForwardCall {
+    const { timers, metrics, platform, deployment } = this.options;
+    return new ForwardCall({
+      timers,
+      metrics,
+      codec: platform.codec,
+      directory: this.directory,
+      suspects: this.suspects,
+      availabilityZone: deployment.availabilityZone,
+      retryWindowMs: deployment.retryWindowMs,
+      retryShare: deployment.retryShare,
+      retryReserve: deployment.retryReserve,
+      getRouters: () => Math.max(1, this.shards[0]!.ledger.holders.size),
+      random: this.getRandom(),
+    });
+  }
+
+  private createPeerServer(): PeerServer {
+    return new PeerServer(this.options.sharedKey, {
+      'budget.transfer': (request) => this.transfers.lend(request),
+      'gateway.state': (request) => this.peerSync.createAnswer(request),
+    });
+  }
+
+  private createServer(): GatewayServer {
+    const { timers, logger, metrics, platform, deployment } = this.options;
+    const { callerAddress, readinessAddress, peerAddress } = deployment;
+    return new GatewayServer({
+      timers,
+      logger,
+      metrics,
+      codec: platform.codec,
+      callerAddress,
+      readinessAddress,
+      peerAddress,
+      readinessPath: platform.readinessPath,
+      handlers: {
+        handleCall: (call) => this.handleCall(call),
+        getUnreadiness: () => this.getUnreadiness(),
+        answerPeer: (body, signature) => this.peers.answer(body, signature),
+      },
+    });
+  }
+
+  private async handleCall(call: GatewayCall): Promise<CallOutcome> {
+    const { timers, metrics, logger } = this.options;
+    try {
+      const result = await runChain({ filters: this.filters, timers, metrics }, call);
+      return result.err ? result.val : undefined;
+    } catch (error) {
+      logger.error('call failed', { request: call.facts.id, error: (error as Error).stack });
+      if (call.caller.isStarted()) {
+        call.caller.destroy();
+      }
+      return createRefusal('internal');
+    }
+  }
+
+  private getUnreadiness(): string | undefined {
+    if (this.isStopping) {
+      return 'stopping';
+    }
+    if (!this.config.getInForce()) {
+      return 'no configuration';
+    }
+    return this.directory.getSize() > 0 ? undefined : 'no endpoints';
+  }
+
+  private onConfig({ config }: ConfigInForce): void {
+    this.server.applyLimits(config.limits);
+    this.options.metrics.rulesVersion.set(config.version);
+    this.totals = new Map(
+      (config.workspaces ?? []).flatMap(({ name, prepaidTokens }) =>
+        prepaidTokens === undefined
+          ? []
+          : [[brandId<BudgetId>(name), { tokens: prepaidTokens, version: config.version }]],
+      ),
+    );
+    this.escrow.onTotalsChanged();
+  }
+
+  /** Returns the other gateways: those whose accounts are known, else those of the settings. */
+  private getPeers(): VmId[] {
+    const { vm, seeds, peerAddress } = this.options.deployment;
+    const holders = [...this.shards[0]!.ledger.holders.keys()].filter((holder) => holder !== vm);
+    if (holders.length > 0) {
+      return holders;
+    }
+    return seeds
+      .filter(({ host }) => host !== peerAddress.host)
+      .map(({ host, port }) => brandId(`${host}:${port}`));
+  }
+
+  /** A peer known only from the settings is named by its address. */
+  private getPeerAddress(peer: VmId): string | undefined {
+    return this.shards[0]!.ledger.holders.get(peer)?.address ?? peer;
+  }
+}
--- /dev/null
+++ b/src/gateway/gatewayServer.ts
@@ -0,0 +1,286 @@
+/** The sockets of a gateway: callers, readiness and metrics, peers. */
+import { createServer, type IncomingMessage, type Server, type ServerResponse } from 'node:http';
+import type { AddressInfo, Socket } from 'node:net';
+import type { Logger } from '../core/logging.js';
+import type { Metrics } from '../core/metrics.js';
+import type { TimerService } from '../core/timers.js';
+import { createRefusal, type Refusal } from '../core/codes.js';
+import { createDeferred, getErrorMessage } from '../core/utilities.js';
+import { PEER_PATH, SIGNATURE_HEADER } from '../peers/peerRpc.js';
+import { createErrorBody, getErrorStatus } from '../server/errorBody.js';
+import { readBody } from '../server/readBody.js';
+import type { Address, CallerLimits, HeaderCodec } from '../types/gateway.js';
+import { GatewayCall, type CallOutcome } from './call.js';
+import { CallerConnection } from './callerConnection.js';
+
+/** What the server calls. */
+export interface GatewayHandlers {
+  readonly handleCall: (call: GatewayCall) => Promise<CallOutcome>;
+  /** Returns why the gateway takes no new connections, or `undefined` where it does. */
+  readonly getUnreadiness: () => string | undefined;
+  readonly answerPeer: (body: string, signature: string) => Promise<string | undefined>;
+}
+
+/** Options of the server. */
+export interface GatewayServerOptions {
+  readonly timers: TimerService;
+  readonly logger: Logger;
+  readonly metrics: Metrics;
+  readonly codec: HeaderCodec;
+  readonly handlers: GatewayHandlers;
+  readonly callerAddress: Address;
+  readonly readinessAddress: Address;
+  readonly peerAddress: Address;
+  readonly readinessPath: string;
+}
+
+const METRICS_PATH = '/metrics';
+const PEER_BODY_BYTES_MAX = 4_194_304;
+const BODY_TIMEOUT_MS = 10_000;
+const LIMITS_BEFORE_CONFIG: CallerLimits = {
+  headerBytes: 16_384,
+  bodyBytes: 4_194_304,
+  headerTimeoutMs: 10_000,
+  idleTimeoutMs: 60_000,
+};
+const IDLE_MARGIN_MS = 2_000; // a caller's last call on an idle connection must not cross with its closing
+const LISTEN_BACKLOG = 1_024; // many callers come at once; a full queue makes them wait for seconds
+const BODY_BYTES_IN_FLIGHT_MAX = 96 * 1_048_576; // bodies are kept until they were sent; the rest of the memory is the process's own
+const OVERLOAD_COME_BACK_MS = 1_000;
+
+/** Three listeners that own their sockets. */
+export class GatewayServer {
+  private readonly callers: Server;
+
+  private readonly readiness: Server;
+
+  private readonly peers: Server;
+
+  private readonly sockets = new Set<Socket>();
+
+  private readonly open = new Set<ServerResponse>();
+
+  private limits = LIMITS_BEFORE_CONFIG;
+
+  private isClosing = false;
+
+  private bodyBytes = 0;
+
+  private drained = createDeferred<void>();
+
+  constructor(private readonly options: GatewayServerOptions) {
+    this.callers = this.createListener((message, response) => this.handleCaller(message, response));
+    this.readiness = this.createListener((message, response) =>
+      this.handleReadiness(message, response),
+    );
+    this.peers = this.createListener((message, response) => this.handlePeer(message, response));
+    this.applyLimits(LIMITS_BEFORE_CONFIG);
+    this.callers.on('connection', (socket: Socket) => {
+      this.sockets.add(socket);
+      socket.on('close', () => this.sockets.delete(socket));
+    });
+  }
+
+  /** Starts listening; resolves with the callers' port. */
+  async listen(): Promise<number> {
+    const { callerAddress, readinessAddress, peerAddress } = this.options;
+    await Promise.all([
+      listenOn(this.callers, callerAddress),
+      listenOn(this.readiness, readinessAddress),
+      listenOn(this.peers, peerAddress),
+    ]);
+    return (this.callers.address() as AddressInfo).port;
+  }
+
+  /** Takes the limits of a configuration over, for connections that are open too. */
+  applyLimits(limits: CallerLimits): void {
+    this.limits = limits;
+    this.callers.keepAliveTimeout = limits.idleTimeoutMs + IDLE_MARGIN_MS;
+    // Node counts from the opening of a connection, which may stay idle first.
+    this.callers.headersTimeout = limits.idleTimeoutMs + limits.headerTimeoutMs;
+    this.callers.requestTimeout = 0;
+  }
+
+  /** Closes connections after their next answer from now on. */
+  startClosing(): void {
+    this.isClosing = true;
+  }
+
+  /** Returns how many calls are in flight. */
+  getOpenCalls(): number {
+    return this.open.size;
+  }
+
+  /** Takes no new connections, and closes those without a call; resolves when no call is in flight. */
+  drain(): Promise<void> {
+    this.callers.close();
+    this.callers.closeIdleConnections();
+    this.checkDrained();
+    return this.drained.promise;
+  }
+
+  /** Closes everything. */
+  close(): void {
+    this.sockets.forEach((socket) => socket.destroy());
+    [this.callers, this.readiness, this.peers].forEach((server) => {
+      server.close();
+      server.closeAllConnections();
+    });
+  }
+
+  private createListener(
+    handle: (message: IncomingMessage, response: ServerResponse) => Promise<void>,
+  ): Server {
+    return createServer({ noDelay: true }, (message, response) => {
+      handle(message, response).catch((error: unknown) => {
+        this.options.logger.error('call failed', { error: (error as Error).stack });
+        response.destroy();
+      });
+    });
+  }
+
+  private async handleReadiness(message: IncomingMessage, response: ServerResponse): Promise<void> {
+    const { readinessPath, metrics, handlers } = this.options;
+    const [path] = (message.url ?? '').split('?');
+    if (path === METRICS_PATH) {
+      const { registry } = metrics;
+      response.writeHead(200, { 'content-type': registry.contentType });
+      response.end(await registry.metrics());
+      return;
+    }
+    if (path !== readinessPath) {
+      response.writeHead(404).end();
+      return;
+    }
+    const reason = handlers.getUnreadiness();
+    response.writeHead(reason === undefined ? 200 : 503).end(reason);
+  }
+
+  private async handlePeer(message: IncomingMessage, response: ServerResponse): Promise<void> {
+    const body = await readBody(message, {
+      timers: this.options.timers,
+      bodyBytes: PEER_BODY_BYTES_MAX,
+      bodyTimeoutMs: BODY_TIMEOUT_MS,
+    });
+    const signature = String(message.headers[SIGNATURE_HEADER] ?? '');
+    const answer =
+      body.ok && message.url === PEER_PATH
+        ? await this.options.handlers.answerPeer(Buffer.from(body.val).toString(), signature)
+        : undefined;
+    response.writeHead(answer === undefined ? 403 : 200, { 'content-type': 'application/json' });
+    response.end(answer ?? '{}');
+  }
+
+  private async handleCaller(message: IncomingMessage, response: ServerResponse): Promise<void> {
+    const { timers, codec } = this.options;
+    const arrivedAt = timers.now();
+    const caller = new CallerConnection(response, () => this.isClosing);
+    this.open.add(response);
+    response.on('close', () => this.onEnd(response));
+    const early = this.checkHead(message);
+    if (early) {
+      this.refuse(caller, early);
+      return;
+    }
+    const body = await this.readCallerBody(message, response);
+    if (body.err) {
+      this.refuse(caller, body.val);
+      return;
+    }
+    const facts = codec.readCall(message.rawHeaders);
+    if ('field' in facts) {
+      this.refuse(caller, createRefusal('invalidHeader', facts));
+      return;
+    }
+    const target = message.url ?? '/';
+    const bytes = body.val as Buffer;
+    const call = new GatewayCall(facts, message.method ?? 'GET', target, bytes, caller, arrivedAt);
+    this.finish(call, await this.options.handlers.handleCall(call));
+  }
+
+  private checkHead({ rawHeaders, headers }: IncomingMessage): Refusal | undefined {
+    const headerBytes = rawHeaders.reduce((sum, text) => sum + text.length + 2, 0);
+    if (headerBytes > this.limits.headerBytes) {
+      return createRefusal('headersTooLarge');
+    }
+    if (Number(headers['content-length'] ?? 0) > this.limits.bodyBytes) {
+      return createRefusal('bodyTooLarge');
+    }
+    return this.bodyBytes > BODY_BYTES_IN_FLIGHT_MAX
+      ? createRefusal('queueFull', { retryAfterMs: OVERLOAD_COME_BACK_MS })
+      : undefined;
+  }
+
+  private async readCallerBody(message: IncomingMessage, response: ServerResponse) {
+    const { timers } = this.options;
+    const { bodyBytes } = this.limits;
+    const body = await readBody(message, { timers, bodyBytes, bodyTimeoutMs: BODY_TIMEOUT_MS });
+    if (body.ok) {
+      const { length } = body.val;
+      this.bodyBytes += length;
+      response.once('close', () => {
+        this.bodyBytes -= length;
+      });
+    }
+    return body;
+  }
+
+  /** Sends a refusal that was not sent yet, and notes the outcome. */
+  private finish(call: GatewayCall, refusal: CallOutcome): void {
+    const { timers, metrics, logger } = this.options;
+    const { facts, caller, workspace, route, service } = call;
+    const durationMs = timers.now() - call.arrivedAt;
+    const isLeft = !refusal && caller.isGone();
+    const result = refusal?.name ?? (isLeft ? 'callerLeft' : 'ok');
+    metrics.requests.inc({ service: service ?? '', result });
+    if (refusal) {
+      this.refuse(caller, refusal);
+    }
+    logger.info('call ended', {
+      request: facts.id,
+      route: route?.name,
+      workspace: workspace?.name,
+      service,
+      config: call.config?.config.version,
+      result,
+      detail: refusal?.detail,
+      retryAfterMs: refusal?.retryAfterMs,
+      tries: call.tries,
+      hold: call.hold?.tokens,
+      delivered: call.deliveredTokens,
+      durationMs: Math.round(durationMs),
+    });
+  }
+
+  private refuse(caller: CallerConnection, refusal: Refusal): void {
+    this.options.metrics.refusals.inc({ reason: refusal.name });
+    if (caller.isStarted() || caller.isGone()) {
+      return;
+    }
+    const headers = [
+      'content-type',
+      'application/json',
+      ...this.options.codec.createRefusalHeaders(refusal.retryAfterMs),
+    ];
+    const body = Buffer.from(JSON.stringify(createErrorBody(refusal)));
+    caller.send(getErrorStatus(refusal), headers, body);
+  }
+
+  private onEnd(response: ServerResponse): void {
+    this.open.delete(response);
+    this.checkDrained();
+  }
+
+  private checkDrained(): void {
+    if (this.open.size === 0 && !this.callers.listening) {
+      this.drained.resolve();
+    }
+  }
+}
+
+function listenOn(server: Server, { host, port }: Address): Promise<void> {
+  const listening = createDeferred<void>();
+  server.once('error', (error) => listening.reject(new Error(getErrorMessage(error))));
+  server.listen({ host, port, backlog: LISTEN_BACKLOG }, () => listening.resolve());
+  return listening.promise;
+}
--- /dev/null
+++ b/src/gateway/peerSync.ts
@@ -0,0 +1,94 @@
+/** What gateways tell each other: configuration and endpoints for those that the store does not answer. */
+import type { Logger } from '../core/logging.js';
+import type { TimerService, Unsubscribe } from '../core/timers.js';
+import { getErrorMessage } from '../core/utilities.js';
+import type { SuspectController } from '../controllers/suspectController.js';
+import type { VmId } from '../types/ids.js';
+import type { GatewayStateAnswer, GatewayStateRequest, PeerClient } from '../types/peers.js';
+import type { ConfigController } from './configController.js';
+import type { EndpointDirectory } from './endpointDirectory.js';
+
+/** Options of the controller. */
+export interface PeerSyncOptions {
+  readonly timers: TimerService;
+  readonly logger: Logger;
+  readonly client: PeerClient;
+  readonly config: ConfigController;
+  readonly directory: EndpointDirectory;
+  readonly suspects: SuspectController;
+  readonly getPeers: () => readonly VmId[];
+  /** Returns how long the store has not answered for the least current topic, in milliseconds; 0 where it answers. */
+  readonly getStoreFailingMs: () => number;
+}
+
+const INTERVAL_MS = 400;
+const STORE_FAILING_MS = 200; // one lost answer is no reason to ask peers
+const CALL_TIMEOUT_MS = 350;
+
+/** Asks peers in turn while the store is away. */
+export class PeerSync {
+  private unsubscribe: Unsubscribe = () => {};
+
+  private isAsking = false;
+
+  private turn = 0;
+
+  constructor(private readonly options: PeerSyncOptions) {}
+
+  /** Starts watching the store's topics. */
+  start(): void {
+    this.unsubscribe = this.options.timers.subscribeEvery(INTERVAL_MS, () => this.check());
+  }
+
+  /** Stops. */
+  stop(): void {
+    this.unsubscribe();
+  }
+
+  /** Answers a peer. */
+  createAnswer(request: GatewayStateRequest): GatewayStateAnswer {
+    const { config, directory, suspects, getStoreFailingMs } = this.options;
+    suspects.merge(request.suspects);
+    const inForce = config.getInForce();
+    const isNewer = config.getVersion() > request.configVersion;
+    return {
+      isCurrent: inForce !== undefined && getStoreFailingMs() === 0,
+      suspects: suspects.getSuspects(),
+      config: inForce && isNewer ? Buffer.from(inForce.source).toString('base64') : undefined,
+      endpoints: directory.getEntries(),
+    };
+  }
+
+  private check(): void {
+    if (this.isAsking || this.options.getStoreFailingMs() < STORE_FAILING_MS) {
+      return;
+    }
+    const peers = this.options.getPeers();
+    this.turn += 1;
+    const peer = peers[this.turn % Math.max(1, peers.length)];
+    if (peer !== undefined) {
+      this.ask(peer).catch((error: unknown) => {
+        this.options.logger.debug('peer did not answer', { peer, detail: getErrorMessage(error) });
+      });
+    }
+  }
+
+  private async ask(peer: VmId): Promise<void> {
+    const { client, config, suspects, directory } = this.options;
+    this.isAsking = true;
+    try {
+      const request = { configVersion: config.getVersion(), suspects: suspects.getSuspects() };
+      const answer = await client.call(peer, 'gateway.state', request, CALL_TIMEOUT_MS);
+      suspects.merge(answer.suspects);
+      if (answer.config !== undefined) {
+        config.apply(Buffer.from(answer.config, 'base64'), 'peer');
+      }
+      answer.endpoints.forEach((entry) => directory.apply(entry));
+      if (answer.isCurrent) {
+        directory.retain(new Set(answer.endpoints.map(({ id }) => id)));
+      }
+    } finally {
+      this.isAsking = false;
+    }
+  }
+}
--- a/src/peers/peerRpc.ts
+++ b/src/peers/peerRpc.ts
@@ -1,12 +1,12 @@
 /** JSON-RPC 2.0 between routers over HTTP, each message signed with the shared key. */
 import { createHmac, timingSafeEqual } from 'node:crypto';
+import { Agent, request } from 'node:http';
 import {
   JSONRPCClient,
   JSONRPCServer,
   type JSONRPCRequest,
   type JSONRPCResponse,
 } from 'json-rpc-2.0';
-import { Agent, request } from 'undici';
 import type { VmId } from '../types/ids.js';
 import { PeerClient, type PeerMethod, type PeerMethods } from '../types/peers.js';
 
@@ -39,7 +39,7 @@
 
 /** Calls peers over HTTP. A call that times out leaves its connection. */
 export class HttpPeerClient extends PeerClient {
-  private readonly agent = new Agent({ pipelining: 1, connections: 4 });
+  private readonly agent = new Agent({ keepAlive: true, maxSockets: 4 });
 
   private nextId = 0;
 
@@ -65,7 +65,8 @@
 
   /** Closes the connections. */
   close(): Promise<void> {
-    return this.agent.destroy();
+    this.agent.destroy();
+    return Promise.resolve();
   }
 
   private async post(
@@ -79,18 +80,34 @@
       throw new Error(`no address is known for ${peer}`);
     }
     const body = JSON.stringify(message);
-    const response = await request(`http://${address}${PEER_PATH}`, {
-      method: 'POST',
-      body,
-      headers: {
-        'content-type': 'application/json',
-        [SIGNATURE_HEADER]: getSignature(sharedKey, body),
-      },
-      dispatcher: this.agent,
-      headersTimeout: timeoutMs,
-      bodyTimeout: timeoutMs,
+    const headers = {
+      'content-type': 'application/json',
+      'content-length': Buffer.byteLength(body),
+      [SIGNATURE_HEADER]: getSignature(sharedKey, body),
+    };
+    const url = `http://${address}${PEER_PATH}`;
+    return JSON.parse(await this.exchange(url, headers, body, timeoutMs)) as JSONRPCResponse;
+  }
+
+  /** The time covers the whole answer, since a connection may go silent at any point. */
+  private exchange(
+    url: string,
+    headers: Readonly<Record<string, string | number>>,
+    body: string,
+    timeoutMs: number,
+  ): Promise<string> {
+    const signal = AbortSignal.timeout(timeoutMs);
+    return new Promise((resolve, reject) => {
+      const outgoing = request(url, { method: 'POST', headers, agent: this.agent, signal });
+      outgoing.on('error', reject);
+      outgoing.on('response', (answer) => {
+        const parts: Buffer[] = [];
+        answer.on('data', (part: Buffer) => parts.push(part));
+        answer.on('end', () => resolve(Buffer.concat(parts).toString()));
+        answer.on('error', reject);
+      });
+      outgoing.end(body);
     });
-    return (await response.body.json()) as JSONRPCResponse;
   }
 }
 
@@ -107,7 +124,7 @@
 
   constructor(
     private readonly sharedKey: string,
-    handlers: PeerHandlers,
+    handlers: Partial<PeerHandlers>,
   ) {
     (Object.keys(handlers) as PeerMethod[]).forEach((method) => {
       this.server.addMethod(method, handlers[method] as (params: never) => unknown as never);
--- /dev/null
+++ b/src/store/keyedFollower.ts
@@ -0,0 +1,156 @@
+/**
+ * Follows a keyed topic: the newest record of each key first, then every later record in order. It starts
+ * over where records that it had not read are gone.
+ */
+import type { Logger } from '../core/logging.js';
+import type { TimerService } from '../core/timers.js';
+import { getErrorMessage } from '../core/utilities.js';
+import type { Offset } from '../types/ids.js';
+import type { KeyedRecord, KeyedStore, StoreFailure, Topic } from '../types/store.js';
+
+/** Options of a follower. */
+export interface KeyedFollowerOptions {
+  readonly store: KeyedStore;
+  readonly topic: Topic;
+  readonly timers: TimerService;
+  readonly logger: Logger;
+  /** How long one read waits for records, in milliseconds. Default 1,500. */
+  readonly waitMs?: number;
+  /** Called for each record in order. */
+  readonly onRecord: (record: KeyedRecord) => void;
+  /**
+   * Called with the keys that are left after starting over. After an outage, keys may be missing whose writers
+   * have not been back yet.
+   */
+  readonly onListed: (keys: ReadonlySet<string>, isAfterOutage: boolean) => void;
+}
+
+/** Where a follower stands. */
+export type FollowerState =
+  | { readonly kind: 'starting' }
+  | { readonly kind: 'current'; readonly checkedAt: number }
+  | { readonly kind: 'failing'; readonly since: number };
+
+const DEFAULT_WAIT_MS = 1_500; // a read on a silent connection must end within the time that changes may take
+const RETRY_MIN_MS = 100;
+const RETRY_MAX_MS = 600; // calls to a store that is down cost as much as others, but changes must not wait long after it
+
+const FAILURES_BEFORE_RELIST = 2;
+
+/** Reads one topic for as long as it runs. */
+export class KeyedFollower {
+  private state: FollowerState = { kind: 'starting' };
+
+  private offset: Offset | undefined;
+
+  private readonly stopping = new AbortController();
+
+  private failures = 0;
+
+  private isStarted = false;
+
+  constructor(private readonly options: KeyedFollowerOptions) {}
+
+  /** Starts reading. */
+  start(): void {
+    this.run().catch((error: unknown) => {
+      const { logger, topic } = this.options;
+      logger.error('follower stopped', { topic: topic.name, error: getErrorMessage(error) });
+    });
+  }
+
+  /** Stops after the call in progress. */
+  stop(): void {
+    this.stopping.abort();
+  }
+
+  /** Returns whether the topic was read to its end once. */
+  hasStarted(): boolean {
+    return this.isStarted;
+  }
+
+  /** Returns where the follower stands. */
+  getState(): FollowerState {
+    return this.state;
+  }
+
+  /** Returns how long reads have been failing, in milliseconds; 0 where the last one succeeded. */
+  getFailingMs(): number {
+    return this.state.kind === 'failing' ? this.options.timers.now() - this.state.since : 0;
+  }
+
+  private async run(): Promise<void> {
+    const { signal } = this.stopping;
+    while (!signal.aborted) {
+      const failure =
+        this.offset === undefined ? await this.startOver() : await this.readOn(this.offset);
+      if (failure) {
+        this.recordFailure(failure);
+        await this.options.timers.sleep(this.getRetryMs(), signal);
+      } else {
+        this.recordSuccess();
+      }
+    }
+  }
+
+  private async startOver(): Promise<StoreFailure | undefined> {
+    const { store, topic, onRecord, onListed } = this.options;
+    const newest = await store.readNewest(topic);
+    if (newest.err) {
+      return newest.val;
+    }
+    const { records, end } = newest.val;
+    const held = records.filter(({ value }) => value !== undefined);
+    onListed(new Set(held.map(({ key }) => key)), this.state.kind === 'failing');
+    held.forEach(onRecord);
+    this.offset = end;
+    this.isStarted = true;
+    return undefined;
+  }
+
+  private async readOn(from: Offset): Promise<StoreFailure | undefined> {
+    const { store, topic, onRecord, logger, waitMs = DEFAULT_WAIT_MS } = this.options;
+    const page = await store.read({ topic, from, waitMs });
+    if (page.err) {
+      if (page.val.kind === 'trimmed') {
+        logger.warn('records were missed', { topic: topic.name, from, first: page.val.first });
+        this.offset = undefined;
+        return undefined;
+      }
+      return page.val;
+    }
+    page.val.malformed.forEach(({ offset, detail }) =>
+      logger.warn('malformed record', { topic: topic.name, offset, detail }),
+    );
+    page.val.records.forEach(onRecord);
+    this.offset = page.val.next;
+    return undefined;
+  }
+
+  private recordSuccess(): void {
+    const { logger, topic, timers } = this.options;
+    if (this.state.kind !== 'current') {
+      const failingMs = Math.round(this.getFailingMs());
+      logger.info('store topic in reach', { topic: topic.name, failingMs, offset: this.offset });
+    }
+    this.failures = 0;
+    this.state = { kind: 'current', checkedAt: timers.now() };
+  }
+
+  private recordFailure(failure: StoreFailure): void {
+    const { logger, topic, timers } = this.options;
+    this.failures += 1;
+    if (this.failures >= FAILURES_BEFORE_RELIST) {
+      // Peers may have told other news meanwhile; the whole list settles it.
+      this.offset = undefined;
+    }
+    if (this.state.kind !== 'failing') {
+      logger.warn('store topic out of reach', { topic: topic.name, ...failure });
+      this.state = { kind: 'failing', since: timers.now() };
+    }
+  }
+
+  private getRetryMs(): number {
+    return Math.min(RETRY_MAX_MS, RETRY_MIN_MS * this.failures);
+  }
+}
--- a/src/types/exchange.ts
+++ b/src/types/exchange.ts
@@ -138,11 +138,11 @@
 /** What a filter returns: nothing, or why the request is refused. */
 export type FilterResult = Result<void, Refusal>;
 
-/** One step of the chain. */
-export abstract class Filter {
+/** One step of a chain, by default of that for rules and budgets. */
+export abstract class Filter<Subject = Exchange> {
   /** Names the step in metrics. */
   abstract readonly name: string;
 
   /** Handles the request and calls `next` for the rest of the chain, or refuses. */
-  abstract handle(exchange: Exchange, next: () => Promise<FilterResult>): Promise<FilterResult>;
+  abstract handle(subject: Subject, next: () => Promise<FilterResult>): Promise<FilterResult>;
 }
--- a/src/types/peers.ts
+++ b/src/types/peers.ts
@@ -1,4 +1,5 @@
 /** The messages between routers, carried by JSON-RPC 2.0. */
+import type { EndpointEntry } from './gateway.js';
 import type { BudgetId, RulesVersion, VmId } from './ids.js';
 import type { EditEntry } from './records.js';
 
@@ -48,11 +49,28 @@
   | { readonly kind: 'edits'; readonly edits: readonly EditEntry[] }
   | { readonly kind: 'text'; readonly version: RulesVersion; readonly lines: readonly string[] };
 
+/** What a gateway without the store knows, to learn the rest from a peer. */
+export interface GatewayStateRequest {
+  readonly configVersion: number;
+  readonly suspects: readonly Suspect[];
+}
+
+/** What a gateway knows from the store. */
+export interface GatewayStateAnswer {
+  /** Whether the peer reads the store's topics itself at this moment. */
+  readonly isCurrent: boolean;
+  readonly suspects: readonly Suspect[];
+  /** The configuration's bytes in base64, where it is newer than the one asked with. */
+  readonly config: string | undefined;
+  readonly endpoints: readonly EndpointEntry[];
+}
+
 /** The methods by name, each with its parameters and its result. */
 export interface PeerMethods {
   'peer.probe': { params: ProbeMessage; result: ProbeMessage };
   'budget.transfer': { params: TransferRequest; result: TransferAnswer };
   'budget.give': { params: GiftRequest; result: TransferAnswer };
+  'gateway.state': { params: GatewayStateRequest; result: GatewayStateAnswer };
   'rules.get': { params: RulesRequest; result: RulesAnswer };
 }
 
--- a/tests/support/fakePeers.ts
+++ b/tests/support/fakePeers.ts
@@ -11,7 +11,7 @@
 /** A process that peers can reach. */
 export interface PeerNode {
   readonly process: PausableTimers;
-  readonly handlers: PeerHandlers;
+  readonly handlers: Partial<PeerHandlers>;
   isAlive: boolean;
 }
 
@@ -83,7 +83,11 @@
 ): Promise<PeerMethods[Method]['result']> {
   await node.process.gate();
   const message = JSON.parse(JSON.stringify(params)) as typeof params;
-  return JSON.parse(JSON.stringify(await node.handlers[method](message)));
+  const handler = node.handlers[method];
+  if (!handler) {
+    throw new Error(`no such method: ${method}`);
+  }
+  return JSON.parse(JSON.stringify(await handler(message)));
 }
 
 function getPair(a: string, b: string): string {
