--- a/src/controllers/budgetAllotment.ts
+++ b/src/controllers/budgetAllotment.ts
@@ -21,6 +21,7 @@
 const RESERVED_HOLDS = 2;
 /** Default time constant of the rate that follows a surge, in milliseconds. */
 const RECENT_MS = 30_000;
+const MEAN_SMOOTHING = 0.1;
 /** How long a need that went unmet is refused at once, in milliseconds. */
 const STARVED_MS = 1_000;
 
@@ -56,6 +57,9 @@
   /** The largest recent hold, in tokens. */
   largestHold = 0;
 
+  /** The mean of recent holds, in tokens. */
+  meanHold = 0;
+
   lastUsedAt = 0;
 
   /** The totals as last reported to the log. */
@@ -83,6 +87,7 @@
   tryHold(need: number, nowMs: number): boolean {
     this.lastUsedAt = nowMs;
     this.largestHold = Math.max(need, this.largestHold);
+    this.meanHold += (need - this.meanHold) * (this.meanHold === 0 ? 1 : MEAN_SMOOTHING);
     if (this.waiters.length > 0 || this.free < need) {
       return false;
     }
@@ -114,14 +119,18 @@
     return taken;
   }
 
-  /** Returns the free tokens that the horizon calls for. */
+  /** Returns the free tokens that the horizon calls for, with room for large requests. */
   getTarget(nowMs: number): number {
+    return Math.ceil(this.getExpectedSpending(nowMs) + RESERVED_HOLDS * this.largestHold);
+  }
+
+  /** Returns what will be spent within the horizon if spending goes on as it did. */
+  getExpectedSpending(nowMs: number): number {
     const tokensPerSecond = Math.max(
       this.recentRate.getTokensPerSecond(nowMs),
       this.horizonRate.getTokensPerSecond(nowMs),
     );
-    const spending = (tokensPerSecond * this.horizonMs) / 1_000;
-    return Math.ceil(spending + RESERVED_HOLDS * this.largestHold);
+    return (tokensPerSecond * this.horizonMs) / 1_000;
   }
 
   /** Notes a need that went unmet; the like is refused at once for a while. */
--- a/src/controllers/peerController.ts
+++ b/src/controllers/peerController.ts
@@ -2,7 +2,7 @@
 import type { RulesVersion, VmId } from '../types/ids.js';
 import type { PeerClient, ProbeMessage } from '../types/peers.js';
 import type { TimerService, Unsubscribe } from '../core/timers.js';
-import type { PeerHandlers } from '../peers/peerRpc.js';
+import type { RouterPeerHandlers } from '../peers/peerRpc.js';
 import type { EndpointController } from './endpointController.js';
 import type { MembershipController } from './membershipController.js';
 import type { RulesController } from './rulesController.js';
@@ -48,7 +48,7 @@
   }
 
   /** Returns what answers peers. */
-  createHandlers(): Omit<PeerHandlers, 'gateway.state'> {
+  createHandlers(): RouterPeerHandlers {
     const { transfers, rules } = this.options;
     return {
       'peer.probe': (message) => {
--- /dev/null
+++ b/src/escrow/account.ts
@@ -0,0 +1,140 @@
+/** One budget in one process: what its vm has claimed, how much of that it may spend now, and what it has spent. */
+import { BudgetAllotment } from '../controllers/budgetAllotment.js';
+import type { BudgetId } from '../types/ids.js';
+import { DemandRate } from './demandRate.js';
+import type { HolderBalance } from './holderRecord.js';
+
+/** A change of an account that is part of a record. Tokens, above 0 for more and below 0 for less. */
+export interface AccountChange {
+  readonly claimed: number;
+  readonly opened: number;
+  readonly wanted: number;
+}
+
+/**
+ * An account. Of the `claimed` tokens only the `opened` ones may be spent: a successor returns the rest. Tokens that
+ * a record gives up are withheld before it is sent; tokens that it adds count once it is known to be stored.
+ */
+export class Account {
+  readonly allotment: BudgetAllotment;
+
+  /** What earlier processes of this vm may have spent. */
+  private inherited = 0;
+
+  /** What earlier processes of this vm have certainly spent. */
+  private inheritedSettled = 0;
+
+  private claimed = 0;
+
+  private opened = 0;
+
+  private withheld = 0;
+
+  /** What requests lacked when they were last refused. */
+  lacking = 0;
+
+  /** What is lacking, as last stored. */
+  wanted = 0;
+
+  private readonly demand: DemandRate;
+
+  constructor(budget: BudgetId, horizonMs: number) {
+    this.allotment = new BudgetAllotment(budget, horizonMs);
+    this.demand = new DemandRate(horizonMs);
+  }
+
+  /** Ends a hold with what was used. */
+  settle(tokens: number, used: number, nowMs: number): void {
+    this.allotment.settle(tokens, used, nowMs);
+    this.demand.add(used, nowMs);
+  }
+
+  /** Returns what is spent in a time if spending goes on as it did, in tokens. */
+  getExpectedSpending(durationMs: number, nowMs: number): number {
+    return (this.demand.getTokensPerSecond(nowMs) * durationMs) / 1_000;
+  }
+
+  /** Returns what earlier processes may have spent beyond what they certainly have. */
+  getLost(): number {
+    return this.inherited - this.inheritedSettled;
+  }
+
+  /** Takes over what earlier processes of the vm left. */
+  inherit(spentAtMost: number, settled: number): void {
+    this.inherited = spentAtMost;
+    this.inheritedSettled = settled;
+  }
+
+  /** Returns what this process may spend once all its claims are opened. */
+  getFreeInAll(): number {
+    return this.claimed - this.opened + this.allotment.free;
+  }
+
+  /** Returns what the vm's processes have certainly spent. */
+  getSettled(): number {
+    return this.inheritedSettled + this.allotment.spent;
+  }
+
+  /** Withholds what a change gives up; returns the change as it can be made. */
+  prepare(change: AccountChange): AccountChange {
+    if (change.opened >= 0) {
+      return change;
+    }
+    this.withheld = this.allotment.withdraw(-change.opened);
+    const opened = -this.withheld;
+    // Opened tokens that could not be taken back stay claimed.
+    const claimed = Math.max(change.claimed, this.opened + opened - this.claimed);
+    return { ...change, claimed, opened };
+  }
+
+  /** Returns the account as a record states it once a change is made. */
+  describe(
+    change: AccountChange,
+    total: { tokens: number; version: number } | undefined,
+  ): HolderBalance {
+    return {
+      claimed: this.inherited + this.claimed + change.claimed,
+      opened: this.inherited + this.opened + change.opened,
+      settled: this.getSettled(),
+      lost: this.getLost(),
+      wanted: change.wanted,
+      total: total?.tokens ?? 0,
+      totalVersion: total?.version ?? 0,
+    };
+  }
+
+  /** Makes a change whose record is stored. */
+  confirm(change: AccountChange): void {
+    this.claimed += change.claimed;
+    this.wanted = change.wanted;
+    this.withheld = 0;
+    if (change.opened < 0) {
+      this.opened += change.opened;
+      return;
+    }
+    // After an extension most of the claim is open already.
+    const opened = Math.max(0, Math.min(change.opened, this.claimed - this.opened));
+    this.opened += opened;
+    if (opened > 0) {
+      this.allotment.clearStarved();
+    }
+    this.allotment.credit(opened);
+  }
+
+  /** Undoes the preparation of a change whose record was never stored. */
+  revert(): void {
+    const { withheld } = this;
+    this.withheld = 0;
+    this.allotment.credit(withheld);
+  }
+
+  /** Opens all that is claimed whether or not a pending change is stored; returns how many tokens that is. */
+  extend(pending: AccountChange | undefined): number {
+    const certain = this.claimed + Math.min(0, pending?.claimed ?? 0);
+    const opened = Math.max(0, certain - this.opened);
+    this.opened += opened;
+    this.allotment.clearStarved();
+    this.allotment.credit(opened);
+    return opened;
+  }
+}
--- a/src/escrow/accountShard.ts
+++ b/src/escrow/accountShard.ts
@@ -6,9 +6,9 @@
 import type { Logger } from '../core/logging.js';
 import type { TimerService, Unsubscribe } from '../core/timers.js';
 import { getErrorMessage, getOrCreate } from '../core/utilities.js';
-import { BudgetAllotment } from '../controllers/budgetAllotment.js';
 import type { BudgetId, Incarnation, Offset, VmId } from '../types/ids.js';
 import type { KeyedRecord, KeyedStore, Topic } from '../types/store.js';
+import { Account, type AccountChange } from './account.js';
 import { planAllotment, type AllotmentSituation } from './allotmentPlan.js';
 import {
   decodeHolderRecord,
@@ -16,6 +16,7 @@
   type HolderBalance,
   type HolderRecord,
 } from './holderRecord.js';
+import { chooseWitnesses, type ExtensionClient } from './extensionClient.js';
 import { Ledger, type VersionedTotal } from './ledger.js';
 
 /** Options of a shard. */
@@ -28,6 +29,8 @@
   readonly run: Incarnation;
   /** Where peers reach this process, as HOST:PORT. */
   readonly address: string;
+  /** Asks the witnesses of this process's records. */
+  readonly extensions: ExtensionClient;
   /** How much spending an allotment covers, in milliseconds. */
   readonly horizonMs: number;
   /** Returns the prepaid totals that this process knows. */
@@ -36,35 +39,21 @@
   readonly random?: () => number;
 }
 
-/** One budget in this process. */
-export interface Account {
-  readonly allotment: BudgetAllotment;
-  /** What earlier processes of this vm may have spent. */
-  inherited: number;
-  /** What earlier processes of this vm have certainly spent. */
-  inheritedSettled: number;
-  /** What was taken in by stored claims of this process, less what it gave back. */
-  claimed: number;
-  /** What a request lacked when it was last refused. */
-  lacking: number;
-  /** What is lacking, as last stored. */
-  wanted: number;
-}
-
 /** A record whose append has no known outcome. */
 interface PendingRecord {
   readonly at: Offset;
   readonly record: HolderRecord;
   readonly bytes: Uint8Array;
-  /** Tokens claimed by the record, or given back where negative, by budget. */
-  readonly changes: ReadonlyMap<BudgetId, number>;
+  readonly changes: ReadonlyMap<BudgetId, AccountChange>;
 }
 
-const RECENT_SPENDING_MS = 4_000; // a surge of one workspace lasts seconds
-const CHECK_INTERVAL_MS = 400;
+const CHECK_INTERVAL_MS = 300;
 const REPORT_INTERVAL_MS = 2_500; // what is settled proves exhaustion to others; each report is a priced call
+const SYNC_GAP_MS = 40; // calls to the store are priced; a request can wait so long
 const RETRY_MIN_MS = 150;
 const RETRY_MAX_MS = 700;
+const READ_INTERVAL_MS = 1_500; // an idle holder must hear what others lack
+const SCARCE_SHARE = 0.85;
 const CONFLICTS_MAX = 12;
 const CONFLICT_BACKOFF_MS = 6; // about one append of another holder
 
@@ -81,12 +70,27 @@
 
   private sequence = 0;
 
+  /** The last record whose claims are all opened. */
+  private extendedSequence = 0;
+
+  private isExtending = false;
+
+  /** What an earlier process of this vm left, until it is settled how much of it was opened. */
+  private forerunner: HolderRecord | undefined;
+
   private isSyncing = false;
 
   private isWanted = false;
 
+  private isScheduled = false;
+
+  private syncedAt = 0;
+
   private failures = 0;
 
+  /** When the sync in progress began, or its last call was answered. */
+  private calledAt = 0;
+
   private retryAt = 0;
 
   private reportedAt = 0;
@@ -125,6 +129,17 @@
     return this.failures > 0;
   }
 
+  /** Returns whether the store has not answered for so long. */
+  isStoreLate(lateMs: number): boolean {
+    const waitedMs = this.options.timers.now() - this.calledAt;
+    return this.isStoreAway() || (this.isSyncing && waitedMs >= lateMs);
+  }
+
+  /** Returns what nobody has claimed, as last read. */
+  getAvailable(budget: BudgetId): number {
+    return (this.getTotal(budget)?.tokens ?? 0) - this.ledger.getClaimed(budget);
+  }
+
   /** Returns the account of a budget. */
   getAccount(budget: BudgetId): Account {
     return getOrCreate(this.accounts, budget, () => this.createAccount(budget));
@@ -134,8 +149,7 @@
   getCertainlySpent(budget: BudgetId): number {
     const account = this.getAccount(budget);
     const own = this.ledger.holders.get(this.options.vm)?.balances.get(budget)?.settled ?? 0;
-    const local = account.inheritedSettled + account.allotment.spent;
-    return this.ledger.getSettled(budget) - own + Math.max(own, local);
+    return this.ledger.getSettled(budget) - own + Math.max(own, account.getSettled());
   }
 
   /** Returns the total of a budget as known here or to any holder. */
@@ -150,7 +164,12 @@
       this.isWanted = true;
       return;
     }
-    if (timers.now() < this.retryAt) {
+    const now = timers.now();
+    if (now < this.retryAt) {
+      return;
+    }
+    if (now < this.syncedAt + SYNC_GAP_MS) {
+      this.scheduleSync(this.syncedAt + SYNC_GAP_MS - now);
       return;
     }
     this.sync(false).catch((error: unknown) => {
@@ -158,18 +177,49 @@
     });
   }
 
+  /**
+   * Opens all claims while the store does not answer, with a majority of witnesses noting it; resolves with whether
+   * there is more to spend now.
+   */
+  async extend(): Promise<boolean> {
+    const { extensions, vm, run, logger } = this.options;
+    const record = this.ledger.holders.get(vm);
+    // A record in doubt may be stored yet, so the extension covers it too.
+    const sequence = this.pending?.record.sequence ?? this.sequence;
+    if (!record || record.run !== run || this.isExtending || this.extendedSequence >= sequence) {
+      return false;
+    }
+    this.isExtending = true;
+    const records = [record.witnesses, this.pending?.record.witnesses ?? record.witnesses];
+    const isNoted = await extensions.extend(records, run, sequence);
+    this.isExtending = false;
+    const isCurrent = sequence === (this.pending?.record.sequence ?? this.sequence);
+    if (!isNoted || !isCurrent) {
+      logger.warn('claims not extended', { sequence, isNoted, witnesses: record.witnesses.length });
+      return false;
+    }
+    this.extendedSequence = sequence;
+    let tokens = 0;
+    this.accounts.forEach((account, budget) => {
+      tokens += account.extend(this.pending?.changes.get(budget));
+    });
+    logger.info('claims extended', { sequence, tokens });
+    return tokens > 0;
+  }
+
+  /** Requests that come close together share one sync. */
+  private scheduleSync(delayMs: number): void {
+    if (!this.isScheduled) {
+      this.isScheduled = true;
+      this.options.timers.subscribe(delayMs, () => {
+        this.isScheduled = false;
+        this.requestSync();
+      });
+    }
+  }
+
   private createAccount(budget: BudgetId): Account {
-    const { horizonMs, vm, run } = this.options;
-    const own = this.ledger.holders.get(vm);
-    const before = own && own.run !== run ? own.balances.get(budget) : undefined;
-    return {
-      allotment: new BudgetAllotment(budget, horizonMs, RECENT_SPENDING_MS),
-      inherited: before?.claimed ?? 0,
-      inheritedSettled: before?.settled ?? 0,
-      claimed: 0,
-      lacking: 0,
-      wanted: 0,
-    };
+    return new Account(budget, this.options.horizonMs);
   }
 
   private check(): void {
@@ -178,7 +228,14 @@
     if (now < this.retryAt || this.isSyncing) {
       return;
     }
-    if (!this.isProven() || this.pending || this.hasChanges() || this.isReportDue(now)) {
+    const isDue =
+      !this.isProven() ||
+      this.pending !== undefined ||
+      this.hasChanges() ||
+      this.hasOtherWitnesses() ||
+      this.isReportDue(now);
+    const isReadDue = now - this.syncedAt >= READ_INTERVAL_MS;
+    if (isDue || isReadDue || this.hasScarceBudget()) {
       this.requestSync();
     }
   }
@@ -189,10 +246,32 @@
       const situation = this.getSituation(budget);
       const account = this.getAccount(budget);
       const plan = situation && planAllotment(situation);
-      return plan !== undefined && (plan.change !== 0 || plan.wanted !== account.wanted);
+      return (
+        plan !== undefined &&
+        (plan.claimed !== 0 || plan.opened !== 0 || plan.wanted !== account.wanted)
+      );
     });
   }
 
+  /** Returns whether others may lack what is idle here, so that their records are to be read. */
+  private hasScarceBudget(): boolean {
+    return [...this.getBudgets()].some((budget) => {
+      const total = this.getTotal(budget)?.tokens ?? 0;
+      return this.ledger.getClaimed(budget) > total * SCARCE_SHARE;
+    });
+  }
+
+  /** Returns whether the stored record names witnesses that have ended, or too few. */
+  private hasOtherWitnesses(): boolean {
+    const { vm } = this.options;
+    const stored = this.ledger.holders.get(vm)?.witnesses ?? [];
+    const wanted = chooseWitnesses(this.ledger, vm);
+    return (
+      stored.length !== wanted.length ||
+      wanted.some(({ run }) => !stored.some((witness) => witness.run === run))
+    );
+  }
+
   private isReportDue(nowMs: number): boolean {
     return (
       nowMs - this.reportedAt >= REPORT_INTERVAL_MS && this.describeSpending() !== this.reported
@@ -208,39 +287,48 @@
   }
 
   private getSituation(budget: BudgetId): AllotmentSituation | undefined {
-    const { timers } = this.options;
+    const { timers, horizonMs } = this.options;
     const total = this.getTotal(budget);
     if (!total) {
       return undefined;
     }
-    const { allotment, lacking } = this.getAccount(budget);
+    const account = this.getAccount(budget);
+    const { allotment, lacking } = account;
     const waiting = allotment.waiters.reduce((sum, { need }) => sum + need, 0);
     return {
       total: total.tokens,
       claimed: this.ledger.getClaimed(budget),
-      free: allotment.free,
-      target: allotment.getTarget(timers.now()),
+      left: total.tokens - this.ledger.getSettled(budget) - this.ledger.getLost(budget),
+      free: account.getFreeInAll(),
+      freeOpened: allotment.free,
+      hasWitnesses: this.ledger.holders.size > 1,
+      expected: account.getExpectedSpending(horizonMs, timers.now()),
+      meanHold: allotment.meanHold,
+      share: this.ledger.getShare(budget, this.options.vm, total.tokens),
       needed: Math.max(waiting, lacking),
       wantedByOthers: this.ledger.getWantedByOthers(budget, this.options.vm),
-      holders: Math.max(1, this.ledger.holders.size),
-      largestHold: allotment.largestHold,
     };
   }
 
   /** Reads to the end and appends this process's record, until one append is judged. */
   private async sync(isFinal: boolean): Promise<void> {
     this.isSyncing = true;
+    this.calledAt = this.options.timers.now();
     try {
       let isDone = false;
       for (let conflicts = 0; !isDone && conflicts < CONFLICTS_MAX; conflicts += 1) {
         // Each round reads what the one before collided with.
-        isDone = !(await this.readToEnd()) || (await this.appendIfNeeded(isFinal)) !== 'conflict';
+        isDone =
+          !(await this.readToEnd()) ||
+          !(await this.settleForerunner()) ||
+          (await this.appendIfNeeded(isFinal)) !== 'conflict';
         if (!isDone) {
           await this.backOff(conflicts);
         }
       }
     } finally {
       this.isSyncing = false;
+      this.syncedAt = this.options.timers.now();
     }
     if (this.isWanted) {
       this.isWanted = false;
@@ -308,20 +396,32 @@
       return;
     }
     if (record.run !== run) {
-      this.inherit(record);
+      this.forerunner = record;
     } else if (record.sequence === this.pending?.record.sequence) {
       this.confirmPending();
     }
   }
 
-  /** Takes over what earlier processes of this vm left: all that they claimed counts as spent. */
-  private inherit(record: HolderRecord): void {
-    record.balances.forEach(({ claimed, settled }, budget) => {
-      const account = this.getAccount(budget);
-      account.inherited = claimed;
-      account.inheritedSettled = settled;
+  /**
+   * Takes over what an earlier process of this vm left. What it had opened counts as spent, and all that it had
+   * claimed where it may have opened that; nobody else can know that it is dead.
+   */
+  private async settleForerunner(): Promise<boolean> {
+    const { forerunner } = this;
+    if (!forerunner) {
+      return true;
+    }
+    const isUnextended = await this.options.extensions.isUnextended(forerunner);
+    forerunner.balances.forEach(({ claimed, opened, settled }, budget) => {
+      this.getAccount(budget).inherit(isUnextended ? opened : claimed, settled);
     });
-    this.options.logger.info('account inherited', { run: record.run, sequence: record.sequence });
+    this.forerunner = undefined;
+    const { run, sequence } = forerunner;
+    const balances = [...forerunner.balances].map(
+      ([budget, { claimed, opened, settled }]) => `${budget} ${claimed} ${opened} ${settled}`,
+    );
+    this.options.logger.info('account inherited', { run, sequence, isUnextended, balances });
+    return true;
   }
 
   /** A record whose condition can no longer hold never was stored and never will be. */
@@ -339,15 +439,7 @@
     this.pending = undefined;
     this.sequence = pending.record.sequence;
     this.reportedAt = this.options.timers.now();
-    pending.changes.forEach((change, budget) => {
-      const account = this.getAccount(budget);
-      account.claimed += change;
-      account.wanted = pending.record.balances.get(budget)?.wanted ?? 0;
-      if (change > 0) {
-        account.allotment.clearStarved();
-        account.allotment.credit(change);
-      }
-    });
+    pending.changes.forEach((change, budget) => this.getAccount(budget).confirm(change));
   }
 
   private revertPending(reason: string): void {
@@ -356,11 +448,7 @@
       return;
     }
     this.pending = undefined;
-    pending.changes.forEach((change, budget) => {
-      if (change < 0) {
-        this.getAccount(budget).allotment.credit(-change);
-      }
-    });
+    pending.changes.forEach((_, budget) => this.getAccount(budget).revert());
     this.options.logger.debug('account record dropped', { at: pending.at, reason });
   }
 
@@ -370,6 +458,7 @@
       this.pending !== undefined ||
       !this.isProven() ||
       this.hasChanges() ||
+      this.hasOtherWitnesses() ||
       this.isReportDue(this.options.timers.now());
     return isNeeded ? this.appendRecord(isFinal) : Promise.resolve('done');
   }
@@ -406,35 +495,28 @@
   }
 
   private createPending(isFinal: boolean): PendingRecord {
-    const { run, address } = this.options;
-    const changes = new Map<BudgetId, number>();
+    const { run, address, vm } = this.options;
+    const changes = new Map<BudgetId, AccountChange>();
     const balances = new Map<BudgetId, HolderBalance>();
     this.getBudgets().forEach((budget) => {
-      const { change, wanted } = this.planBudget(budget, isFinal);
       const account = this.getAccount(budget);
-      const total = this.getTotal(budget);
-      const withheld = change < 0 ? account.allotment.withdraw(-change) : 0;
-      const effective = change < 0 ? -withheld : change;
-      changes.set(budget, effective);
-      balances.set(budget, {
-        claimed: account.inherited + account.claimed + effective,
-        settled: account.inheritedSettled + account.allotment.spent,
-        wanted,
-        total: total?.tokens ?? 0,
-        totalVersion: total?.version ?? 0,
-      });
+      const change = account.prepare(this.planBudget(budget, isFinal));
+      changes.set(budget, change);
+      balances.set(budget, account.describe(change, this.getTotal(budget)));
       account.lacking = 0;
     });
-    const record = { run, sequence: this.sequence + 1, address, balances };
+    const witnesses = chooseWitnesses(this.ledger, vm);
+    const record = { run, sequence: this.sequence + 1, address, witnesses, balances };
     return { at: this.offset!, record, bytes: encodeHolderRecord(record), changes };
   }
 
-  private planBudget(budget: BudgetId, isFinal: boolean) {
+  private planBudget(budget: BudgetId, isFinal: boolean): AccountChange {
+    const account = this.getAccount(budget);
     if (isFinal) {
-      return { change: -this.getAccount(budget).allotment.free, wanted: 0 };
+      return { claimed: -account.getFreeInAll(), opened: -account.allotment.free, wanted: 0 };
     }
     const situation = this.getSituation(budget);
-    return situation ? planAllotment(situation) : { change: 0, wanted: 0 };
+    return situation ? planAllotment(situation) : { claimed: 0, opened: 0, wanted: 0 };
   }
 
   private recordSuccess(): void {
@@ -446,6 +528,7 @@
     }
     this.failures = 0;
     this.retryAt = 0;
+    this.calledAt = this.options.timers.now();
   }
 
   private recordFailure(detail: string): void {
--- a/src/escrow/allotmentPlan.ts
+++ b/src/escrow/allotmentPlan.ts
@@ -10,42 +10,58 @@
   readonly total: number;
   /** What all holders have spent or may spend. */
   readonly claimed: number;
-  /** What this holder may spend now. */
+  /** What nobody has spent and nobody has lost. */
+  readonly left: number;
+  /** What this holder may spend of what it claimed. */
   readonly free: number;
-  /** What its recent spending calls for. */
-  readonly target: number;
+  /** The part of it that is opened. */
+  readonly freeOpened: number;
+  /** Whether there are witnesses, without which all that is claimed is opened. */
+  readonly hasWitnesses: boolean;
+  /** What this holder will spend within the horizon if it goes on as it did. */
+  readonly expected: number;
+  /** The mean of its recent requests. */
+  readonly meanHold: number;
+  /** The part of all spending that is this holder's, in [0, 1]. */
+  readonly share: number;
   /** What its waiting requests need together. */
   readonly needed: number;
   /** What other holders lack. */
   readonly wantedByOthers: number;
-  readonly holders: number;
-  /** The largest recent request of this holder. */
-  readonly largestHold: number;
 }
 
 /** What to do about it. */
 export interface AllotmentPlan {
   /** Above 0 to claim, below 0 to give back. */
-  readonly change: number;
+  readonly claimed: number;
+  /** Above 0 to open, below 0 to close. */
+  readonly opened: number;
   /** What is lacking and can't be claimed. */
   readonly wanted: number;
 }
 
-/** Each holder keeps this part of the total, over all holders, before it has spent anything: a partition may come first. */
-const STARTING_SHARE = 0.4;
-/** A claim above its need takes at most this part of what is left, so that claims shrink with the balance. */
-const CLAIM_SHARE_DIVISOR = 3;
+/** All allotments together keep to these parts of what is not spent: a partition from the store may come at any
+ * time, and what the holders have in hand when all die at once does not come back. */
+const LEFT_SHARE_MIN = 0.2;
+const LEFT_SHARE_MAX = 0.45;
+/** Requests of the mean size that an allotment has room for beside its expected spending. */
+const RESERVED_HOLDS = 2;
 /** Claims when free tokens fall below this part of the target. */
-const LOW_SHARE = 0.6;
+const LOW_SHARE = 0.7;
 /** Gives back when free tokens pass this multiple of the target. */
-const HIGH_SHARE = 2.5;
+const HIGH_SHARE = 1.5;
+
+/** The part of the horizon that opened tokens cover: some intervals between two records. */
+const WINDOW_SHARE = 1 / 5;
+/** The least part of free tokens that is opened, so that a first request need not wait for the store. */
+const OPENED_SHARE_MIN = 0.15;
 
 /** Returns the free tokens that a holder aims at. */
 export function getAllotmentTarget(situation: AllotmentSituation): number {
-  const { total, claimed, holders, target } = situation;
-  const left = Math.max(0, total - claimed);
-  const start = Math.min((total * STARTING_SHARE) / holders, (left * STARTING_SHARE) / holders);
-  return Math.ceil(Math.max(target, start));
+  const { expected, meanHold, share } = situation;
+  const left = Math.max(0, situation.left) * share;
+  const desired = expected + meanHold;
+  return Math.ceil(Math.min(Math.max(desired, left * LEFT_SHARE_MIN), left * LEFT_SHARE_MAX));
 }
 
 /**
@@ -53,38 +69,57 @@
  *
  * @example
  * // A waiting request is served though little is left: the need goes before the share.
- * planAllotment({ total: 1_000, claimed: 900, free: 0, target: 500, needed: 80, wantedByOthers: 0,
- *   holders: 6, largestHold: 80 }).change; // 80
+ * planAllotment({ total: 1_000, claimed: 900, left: 300, free: 0, freeOpened: 0, hasWitnesses: true,
+ *   expected: 500, meanHold: 50, share: 0.2, needed: 80, wantedByOthers: 0 }).claimed; // 80
  */
 export function planAllotment(situation: AllotmentSituation): AllotmentPlan {
+  const { claimed, wanted } = planClaim(situation);
+  return { claimed, wanted, opened: planOpening(situation, situation.free + claimed) };
+}
+
+function planClaim(situation: AllotmentSituation): { claimed: number; wanted: number } {
   const { total, claimed, free, needed } = situation;
   const available = Math.max(0, total - claimed);
   const target = getAllotmentTarget(situation);
   if (claimed > total) {
     // The total was lowered: what is free goes back first.
-    return { change: -Math.floor(Math.min(free, claimed - total)), wanted: 0 };
+    return { claimed: -Math.floor(Math.min(free, claimed - total)), wanted: 0 };
   }
   const lacking = Math.max(0, needed - free);
-  if (lacking > 0 || free < target * LOW_SHARE) {
-    return planClaim(available, lacking, Math.max(lacking, target - free));
-  }
-  return { change: -getSurplus(situation, target, available), wanted: 0 };
-}
-
-function planClaim(available: number, lacking: number, desired: number): AllotmentPlan {
   if (lacking > available) {
-    return { change: 0, wanted: lacking };
+    // What is left serves at least some of those that wait.
+    return { claimed: Math.floor(available), wanted: Math.ceil(lacking - available) };
+  }
+  const isLow = free < target * LOW_SHARE && situation.wantedByOthers === 0;
+  if (lacking > 0 || isLow) {
+    const desired = isLow ? Math.max(lacking, needed + target - free) : lacking;
+    return { claimed: Math.floor(Math.min(desired, available)), wanted: 0 };
   }
-  const share = Math.floor(available / CLAIM_SHARE_DIVISOR);
-  return { change: Math.floor(Math.max(lacking, Math.min(desired, share))), wanted: 0 };
+  return { claimed: -getSurplus(situation, target, available), wanted: 0 };
 }
 
 /** Others' lack goes before this holder's reserve; without it only what is far above the target goes back. */
 function getSurplus(situation: AllotmentSituation, target: number, available: number): number {
-  const { free, wantedByOthers, largestHold } = situation;
+  const { free, wantedByOthers, meanHold, needed } = situation;
+  if (needed > 0) {
+    return 0;
+  }
   if (wantedByOthers > available) {
-    const spare = Math.max(0, free - largestHold);
+    const spare = Math.max(0, free - meanHold);
     return Math.floor(Math.min(spare, wantedByOthers - available));
   }
   return free > target * HIGH_SHARE ? Math.floor(free - target) : 0;
 }
+
+/** What is opened is lost when the process dies, so it follows the spending of the next moments. */
+function planOpening(situation: AllotmentSituation, free: number): number {
+  const { freeOpened, expected, meanHold, needed, hasWitnesses } = situation;
+  const window = Math.max(
+    expected * WINDOW_SHARE + RESERVED_HOLDS * meanHold,
+    free * OPENED_SHARE_MIN,
+  );
+  const desired = hasWitnesses ? Math.min(free, Math.ceil(needed + window)) : free;
+  const isTooLow = freeOpened < needed || freeOpened < desired * LOW_SHARE;
+  const isTooHigh = freeOpened > desired * HIGH_SHARE || freeOpened > free;
+  return isTooLow || isTooHigh ? Math.floor(desired - freeOpened) : 0;
+}
--- a/src/escrow/escrowController.ts
+++ b/src/escrow/escrowController.ts
@@ -4,7 +4,8 @@
 import { createRefusal, type Refusal } from '../core/codes.js';
 import { createDeferred, getErrorMessage, getHash32 } from '../core/utilities.js';
 import type { BudgetId } from '../types/ids.js';
-import type { Account, AccountShard } from './accountShard.js';
+import type { Account } from './account.js';
+import type { AccountShard } from './accountShard.js';
 
 /** Asks peers for tokens of a budget; returns how many came. */
 export type TokenRequest = (budget: BudgetId, need: number, want: number) => Promise<number>;
@@ -33,12 +34,16 @@
   | { readonly kind: 'refused'; readonly refusal: Refusal };
 
 const HOLD_WAIT_MS = 250; // two appends with a collision; a caller's target is 300 ms and more
+const EXTEND_AFTER_MS = 80; // an append that takes so long may not come back at all
 const LENT_COME_BACK_MS = 800; // holders look at what others lack twice in this time
 const AWAY_COME_BACK_MS = 1_500;
 const PEER_WANT_FACTOR = 4; // asks for some requests at once, so that peers are not asked for each
 
 /** All budgets of this process. */
 export class EscrowController {
+  /** Budgets for which peers are being asked. */
+  private readonly asking = new Set<BudgetId>();
+
   constructor(private readonly options: EscrowControllerOptions) {}
 
   /** Starts every shard. */
@@ -81,21 +86,27 @@
       return this.createHold(account, tokens);
     }
     if (account.allotment.isStarved(tokens, now)) {
+      account.lacking += tokens;
       return this.refuse(shard, budget, tokens);
     }
     if (await this.waitForTokens(shard, account, tokens)) {
       return this.createHold(account, tokens);
     }
     account.allotment.recordStarved(tokens, this.options.timers.now());
-    account.lacking = Math.max(account.lacking, tokens);
+    account.lacking += tokens;
     shard.requestSync();
     return this.refuse(shard, budget, tokens);
   }
 
   /** Takes free tokens out for a peer and returns how many; they count as spent here. */
-  lendTokens(budget: BudgetId, need: number, want: number): number {
-    const { allotment } = this.getShard(budget).getAccount(budget);
-    const spare = Math.max(0, Math.floor((allotment.free - allotment.largestHold) / 2));
+  async lendTokens(budget: BudgetId, need: number, want: number): Promise<number> {
+    const shard = this.getShard(budget);
+    const { allotment } = shard.getAccount(budget);
+    const getSpare = () => Math.floor(allotment.free - allotment.meanHold);
+    if (getSpare() < want && shard.isStoreAway()) {
+      await shard.extend();
+    }
+    const spare = getSpare();
     const tokens = spare >= need ? allotment.withdraw(Math.min(want, spare)) : 0;
     allotment.sent += tokens;
     this.options.logger.info('tokens lent', { budget, need, want, tokens, free: allotment.free });
@@ -116,13 +127,21 @@
     const granted = createDeferred<boolean>();
     const waiter = { need: tokens, finish: granted.resolve };
     account.allotment.waiters.push(waiter);
-    if (shard.isStoreAway()) {
+    shard.requestSync();
+    const reach = () => {
+      if (shard.isStoreLate(EXTEND_AFTER_MS)) {
+        this.reachPastStore(shard, account, tokens);
+      }
+    };
+    const cancelExtension = timers.subscribeEvery(EXTEND_AFTER_MS, reach);
+    reach();
+    if (shard.getAvailable(account.allotment.budget) < tokens) {
       this.askPeers(account, tokens);
     }
-    shard.requestSync();
     const cancel = timers.subscribe(holdWaitMs, () => granted.resolve(false));
     const isGranted = await granted.promise;
     cancel();
+    cancelExtension();
     const index = account.allotment.waiters.indexOf(waiter);
     if (index >= 0) {
       account.allotment.waiters.splice(index, 1);
@@ -132,8 +151,26 @@
     return isGranted;
   }
 
+  /** Opens this process's own claims first; peers are asked for what is lacking after that. */
+  private reachPastStore(shard: AccountShard, account: Account, need: number): void {
+    shard
+      .extend()
+      .then(() => {
+        if (account.allotment.waiters.length > 0) {
+          this.askPeers(account, need);
+        }
+      })
+      .catch((error: unknown) => {
+        this.options.logger.error('extension failed', { detail: getErrorMessage(error) });
+      });
+  }
+
   private askPeers({ allotment }: Account, need: number): void {
     const { requestFromPeers, logger } = this.options;
+    if (this.asking.has(allotment.budget)) {
+      return;
+    }
+    this.asking.add(allotment.budget);
     requestFromPeers(allotment.budget, need, need * PEER_WANT_FACTOR)
       .then((tokens) => {
         if (tokens > 0) {
@@ -147,7 +184,8 @@
           budget: allotment.budget,
           detail: getErrorMessage(error),
         });
-      });
+      })
+      .finally(() => this.asking.delete(allotment.budget));
   }
 
   private createHold(account: Account, tokens: number): HoldResult {
@@ -157,7 +195,7 @@
     const settle = (used: number) => {
       if (isOpen) {
         isOpen = false;
-        allotment.settle(tokens, used, timers.now());
+        account.settle(tokens, used, timers.now());
       }
     };
     return { kind: 'held', hold: { budget: allotment.budget, tokens, settle } };
--- a/src/escrow/holderRecord.ts
+++ b/src/escrow/holderRecord.ts
@@ -6,21 +6,31 @@
 import { z } from 'zod';
 import { Err, Ok, type Result } from '../core/results.js';
 import { getErrorMessage } from '../core/utilities.js';
-import type { BudgetId, Incarnation } from '../types/ids.js';
+import type { BudgetId, Incarnation, VmId } from '../types/ids.js';
 
 /** What one holder says of one budget. Amounts are in tokens and count from the vm's first process on. */
 export interface HolderBalance {
   /** The most that this vm's processes have spent or may still spend. */
   readonly claimed: number;
+  /** The part of it that they may spend without asking witnesses; a successor may return the rest. */
+  readonly opened: number;
   /** What they have certainly spent. */
   readonly settled: number;
-  /** What a request here lacks and the budget could not give; 0 for none. */
+  /** What ended processes of this vm may have spent beyond that; it does not come back. */
+  readonly lost: number;
+  /** What requests here lack and the budget could not give; 0 for none. */
   readonly wanted: number;
   /** The prepaid total as of a version of the configuration. */
   readonly total: number;
   readonly totalVersion: number;
 }
 
+/** A process that remembers whether the holder opened all its claims. */
+export interface Witness {
+  readonly vm: VmId;
+  readonly run: Incarnation;
+}
+
 /** The account of one vm. */
 export interface HolderRecord {
   readonly run: Incarnation;
@@ -28,28 +38,37 @@
   readonly sequence: number;
   /** Where peers reach the holder, as HOST:PORT. */
   readonly address: string;
+  readonly witnesses: readonly Witness[];
   readonly balances: ReadonlyMap<BudgetId, HolderBalance>;
 }
 
 const FORMAT = 1;
 const amount = z.int();
-const balanceSchema = z.tuple([z.string(), amount, amount, amount, amount, amount]);
+const balanceSchema = z.tuple([z.string(), amount, amount, amount, amount, amount, amount, amount]);
 const recordSchema = z.tuple([
   z.literal(FORMAT),
   z.string(),
   z.int().min(1),
   z.string(),
+  z.array(z.tuple([z.string(), z.string()])),
   z.array(balanceSchema),
 ]);
 
 /** Encodes a record. */
 export function encodeHolderRecord(record: HolderRecord): Uint8Array {
-  const { run, sequence, address, balances } = record;
+  const { run, sequence, address, witnesses, balances } = record;
   const rows = [...balances].map(([budget, balance]) => {
-    const { claimed, settled, wanted, total, totalVersion } = balance;
-    return [budget, claimed, settled, wanted, total, totalVersion];
+    const { claimed, opened, settled, lost, wanted, total, totalVersion } = balance;
+    return [budget, claimed, opened, settled, lost, wanted, total, totalVersion];
   });
-  return encode([FORMAT, run, sequence, address, rows]);
+  return encode([
+    FORMAT,
+    run,
+    sequence,
+    address,
+    witnesses.map((witness) => [witness.vm, witness.run]),
+    rows,
+  ]);
 }
 
 /** Decodes a record; an error says what is malformed. */
@@ -61,14 +80,18 @@
         parsed.error.issues.map(({ path, message }) => `${path.join('.')}: ${message}`)[0]!,
       );
     }
-    const [, run, sequence, address, rows] = parsed.data;
+    const [, run, sequence, address, pairs, rows] = parsed.data;
+    const witnesses = pairs.map(([vm, witnessRun]) => ({
+      vm: vm as VmId,
+      run: witnessRun as Incarnation,
+    }));
     const balances = new Map(
-      rows.map(([budget, claimed, settled, wanted, total, totalVersion]) => [
+      rows.map(([budget, claimed, opened, settled, lost, wanted, total, totalVersion]) => [
         budget as BudgetId,
-        { claimed, settled, wanted, total, totalVersion },
+        { claimed, opened, settled, lost, wanted, total, totalVersion },
       ]),
     );
-    return Ok({ run: run as Incarnation, sequence, address, balances });
+    return Ok({ run: run as Incarnation, sequence, address, witnesses, balances });
   } catch (error) {
     return Err(getErrorMessage(error));
   }
--- a/src/escrow/ledger.ts
+++ b/src/escrow/ledger.ts
@@ -8,6 +8,9 @@
   readonly version: number;
 }
 
+/** The part of a total after whose spending the holders' own shares count as much as equal ones. */
+const PRIOR_SHARE = 0.1;
+
 /** The newest record of each holder, as of an offset of the topic. */
 export class Ledger {
   readonly holders = new Map<VmId, HolderRecord>();
@@ -32,12 +35,31 @@
     return this.sum(budget, 'settled');
   }
 
+  /** Returns what ended processes may have spent beyond that. */
+  getLost(budget: BudgetId): number {
+    return this.sum(budget, 'lost');
+  }
+
+  /** Returns what one holder may still spend of its claims. */
+  getHeld(budget: BudgetId, holder: VmId): number {
+    const balance = this.holders.get(holder)?.balances.get(budget);
+    return balance ? balance.claimed - balance.settled : 0;
+  }
+
   /** Returns what holders other than one lack. */
   getWantedByOthers(budget: BudgetId, holder: VmId): number {
     const own = this.holders.get(holder)?.balances.get(budget)?.wanted ?? 0;
     return this.sum(budget, 'wanted') - own;
   }
 
+  /** Returns the part of all spending that is a holder's; equal parts while little was spent. */
+  getShare(budget: BudgetId, holder: VmId, total: number): number {
+    const count = Math.max(1, this.holders.size);
+    const prior = (total * PRIOR_SHARE) / count;
+    const own = this.holders.get(holder)?.balances.get(budget)?.settled ?? 0;
+    return (own + prior) / (this.getSettled(budget) + prior * count);
+  }
+
   /** Returns the total by the newest configuration that any holder or the given one knows. */
   getTotal(budget: BudgetId, known: VersionedTotal | undefined): VersionedTotal | undefined {
     let newest = known;
@@ -50,7 +72,7 @@
     return newest;
   }
 
-  private sum(budget: BudgetId, field: 'claimed' | 'settled' | 'wanted'): number {
+  private sum(budget: BudgetId, field: 'claimed' | 'settled' | 'lost' | 'wanted'): number {
     let sum = 0;
     this.holders.forEach(({ balances }) => {
       sum += balances.get(budget)?.[field] ?? 0;
--- a/src/gateway/filters/forwardCall.ts
+++ b/src/gateway/filters/forwardCall.ts
@@ -132,7 +132,9 @@
       if (!this.mayTryAgain(result.failure) || this.call.caller.isGone()) {
         return this.giveUp(refusal);
       }
-      if (!this.allowance.tryTake(this.options.timers.now())) {
+      // A call that reached nobody is no repeat when it is sent again.
+      const isRepeat = result.failure !== 'unreachable';
+      if (isRepeat && !this.allowance.tryTake(this.options.timers.now())) {
         return this.giveUp(
           this.call.mayHaveRun
             ? refusal
--- a/src/gateway/forward/answerRelay.ts
+++ b/src/gateway/forward/answerRelay.ts
@@ -12,8 +12,17 @@
 
 const WHOLE_ANSWER_BYTES_MAX = 8 * 1_048_576;
 
+/** An answer that comes in, with whether its connection has had no error. */
+export interface IncomingAnswer {
+  readonly message: IncomingMessage;
+  readonly isSound: () => boolean;
+}
+
 /** Reads a whole answer; `undefined` where the endpoint broke off. */
-export function readWholeAnswer(answer: IncomingMessage): Promise<Buffer | undefined> {
+export function readWholeAnswer({
+  message: answer,
+  isSound,
+}: IncomingAnswer): Promise<Buffer | undefined> {
   return new Promise((resolve) => {
     const parts: Buffer[] = [];
     let length = 0;
@@ -25,7 +34,9 @@
         parts.push(part);
       }
     });
-    answer.on('end', () => resolve(answer.complete ? Buffer.concat(parts) : undefined));
+    answer.on('end', () =>
+      resolve(answer.complete && isSound() ? Buffer.concat(parts) : undefined),
+    );
     answer.on('error', () => resolve(undefined));
     answer.on('close', () => resolve(undefined));
   });
@@ -63,7 +74,7 @@
   }
 
   /** Passes events on as they come; the head goes out with the first one. */
-  relay(answer: IncomingMessage, facts: AnswerFacts): Promise<RelayEnd> {
+  relay({ message: answer, isSound }: IncomingAnswer, facts: AnswerFacts): Promise<RelayEnd> {
     const splitter = new EventSplitter();
     return new Promise((resolve) => {
       let isFirst = true;
@@ -78,7 +89,13 @@
         }
         this.forward(answer, facts, events);
       });
-      answer.on('end', () => resolve(this.finish(answer, facts, splitter.getRest())));
+      answer.on('end', () =>
+        resolve(
+          answer.complete && isSound()
+            ? this.finish(facts, splitter.getRest())
+            : { kind: 'broken', detail: 'the answer was cut off' },
+        ),
+      );
       answer.on('error', (error) => resolve({ kind: 'broken', detail: error.message }));
       answer.on('close', () => resolve({ kind: 'broken', detail: 'the answer was cut off' }));
     });
@@ -108,11 +125,8 @@
     }
   }
 
-  private finish(answer: IncomingMessage, facts: AnswerFacts, rest: Buffer): RelayEnd {
+  private finish(facts: AnswerFacts, rest: Buffer): RelayEnd {
     const { call } = this.options;
-    if (!answer.complete) {
-      return { kind: 'broken', detail: 'the answer was cut off' };
-    }
     if (!call.caller.isStarted()) {
       call.caller.open(facts.status, facts.passedHeaders);
     }
--- a/src/gateway/forward/endpointCall.ts
+++ b/src/gateway/forward/endpointCall.ts
@@ -37,6 +37,8 @@
 
   private isAborted = false;
 
+  private hasFailed = false;
+
   private cancelConnect: Unsubscribe = () => {};
 
   /** Resolves once, with the head of the answer or how the call failed. */
@@ -55,13 +57,26 @@
     });
     this.sent = new Promise((resolve) => {
       this.outgoing.on('socket', (socket: Socket) => this.watchSocket(socket));
-      this.outgoing.on('response', (answer) => resolve({ kind: 'answered', answer }));
-      this.outgoing.on('error', (error: Error) => resolve(this.getFailure(error.message)));
+      this.outgoing.on('response', (answer) => {
+        if (isUnframed(answer)) {
+          this.watchEnd(answer.socket);
+        }
+        resolve({ kind: 'answered', answer });
+      });
+      this.outgoing.on('error', (error: Error) => {
+        this.hasFailed = true;
+        resolve(this.getFailure(error.message));
+      });
       this.outgoing.on('close', () => resolve(this.getFailure('the connection was closed')));
     });
     this.outgoing.end(body.length > 0 ? body : undefined);
   }
 
+  /** Returns whether the connection has had no error, as far as an answer that ends with it is concerned. */
+  isSound(): boolean {
+    return !this.hasFailed;
+  }
+
   /** Drops the connection, so that the endpoint stops its work. */
   abort(): void {
     this.isAborted = true;
@@ -85,6 +100,18 @@
     this.outgoing.once('close', () => this.cancelConnect());
   }
 
+  /**
+   * Tells a reset from a proper end. Where a reset comes together with the last bytes, it is reported as an end of
+   * the stream; only a write shows it. The byte pair is one that servers skip before a request.
+   */
+  private watchEnd(socket: Socket): void {
+    socket.prependOnceListener('end', () => {
+      socket.write('\r\n', (error) => {
+        this.hasFailed ||= Boolean(error);
+      });
+    });
+  }
+
   private getFailure(detail: string): SendResult {
     if (this.isAborted) {
       return { kind: 'aborted' };
@@ -92,3 +119,13 @@
     return { kind: this.isConnected ? 'broken' : 'unreachable', detail };
   }
 }
+
+/** Returns whether only the end of the connection ends the answer. */
+function isUnframed({ headers, statusCode = 0 }: IncomingMessage): boolean {
+  const hasNoBody = statusCode === 204 || statusCode === 304;
+  return (
+    !hasNoBody &&
+    headers['content-length'] === undefined &&
+    headers['transfer-encoding'] === undefined
+  );
+}
--- a/src/gateway/forward/endpointTry.ts
+++ b/src/gateway/forward/endpointTry.ts
@@ -1,11 +1,11 @@
 /** One try of a call on one endpoint, with what it tells about the endpoint. */
-import type { Agent, IncomingMessage } from 'node:http';
+import type { Agent } from 'node:http';
 import type { SuspectController } from '../../controllers/suspectController.js';
 import type { TimerService } from '../../core/timers.js';
 import type { AnswerFacts, HeaderCodec } from '../../types/gateway.js';
 import type { GatewayCall } from '../call.js';
 import type { EndpointDirectory, KnownEndpoint } from '../endpointDirectory.js';
-import { readWholeAnswer, type StreamRelay } from './answerRelay.js';
+import { readWholeAnswer, type IncomingAnswer, type StreamRelay } from './answerRelay.js';
 import { EndpointCall } from './endpointCall.js';
 import type { TryFailure } from './retryDecision.js';
 
@@ -30,6 +30,7 @@
 }
 
 const FULL_MS = 150; // an endpoint that refuses for lack of room has some again after a few answers
+const UNREACHABLE_MS = 400; // a process that starts again needs longer; until then each try costs a caller's time
 const SERVER_ERROR_STATUS = 500;
 /** Statuses that promise that a call has not run; an endpoint's own word for it is another header. */
 const PROMISING_STATUSES: ReadonlySet<number> = new Set([408, 421, 429, 503]);
@@ -118,7 +119,10 @@
     const sent = await this.sent.sent;
     switch (sent.kind) {
       case 'answered':
-        return this.judgeAnswer(sent.answer);
+        return this.judgeAnswer({
+          message: sent.answer,
+          isSound: () => this.sent.isSound(),
+        });
       case 'aborted':
         return { kind: 'aborted' };
       default:
@@ -126,17 +130,18 @@
     }
   }
 
-  private judgeAnswer(answer: IncomingMessage): Promise<TryResult> {
+  private judgeAnswer(answer: IncomingAnswer): Promise<TryResult> {
     const { codec, call, endpoint, directory, timers } = this.options;
-    const status = answer.statusCode ?? 0;
-    const facts = codec.readAnswer(call.facts.id, status, answer.rawHeaders);
+    const { message } = answer;
+    const status = message.statusCode ?? 0;
+    const facts = codec.readAnswer(call.facts.id, status, message.rawHeaders);
     if (facts.isCrossed) {
       return this.reject('crossed');
     }
     if (facts.isNotRun) {
       // Read to its end, the connection can be used again.
-      answer.resume();
-      answer.on('error', () => {});
+      message.resume();
+      message.on('error', () => {});
       if (facts.isWrongEndpoint) {
         directory.markEnded(endpoint);
         return Promise.resolve({ kind: 'failed', failure: 'wrongEndpoint' });
@@ -152,7 +157,7 @@
       : this.relayWhole(answer, facts);
   }
 
-  private async relayStream(answer: IncomingMessage, facts: AnswerFacts): Promise<TryResult> {
+  private async relayStream(answer: IncomingAnswer, facts: AnswerFacts): Promise<TryResult> {
     const { stream, endpoint, timers, suspects, call } = this.options;
     const end = await stream!.relay(answer, facts);
     if (end.kind === 'broken') {
@@ -163,7 +168,7 @@
     return { kind: 'done' };
   }
 
-  private async relayWhole(answer: IncomingMessage, facts: AnswerFacts): Promise<TryResult> {
+  private async relayWhole(answer: IncomingAnswer, facts: AnswerFacts): Promise<TryResult> {
     const { call, endpoint, timers, suspects } = this.options;
     const body = await readWholeAnswer(answer);
     if (!body) {
@@ -202,6 +207,9 @@
   private fail(failure: TryFailure): TryResult {
     const { endpoint, timers, suspects, call } = this.options;
     endpoint.breaker.record(false, timers.now());
+    if (failure === 'unreachable') {
+      endpoint.fullUntil = timers.now() + UNREACHABLE_MS;
+    }
     if (failure === 'broken' && call.facts.tokens) {
       suspects.recordDeath([call.digest]);
     }
--- a/src/gateway/gateway.ts
+++ b/src/gateway/gateway.ts
@@ -8,6 +8,8 @@
 import { TransferController } from '../controllers/transferController.js';
 import { AccountShard } from '../escrow/accountShard.js';
 import { EscrowController } from '../escrow/escrowController.js';
+import { ExtensionClient } from '../escrow/extensionClient.js';
+import { ExtensionWitness } from '../escrow/extensionWitness.js';
 import type { VersionedTotal } from '../escrow/ledger.js';
 import { runChain } from '../filters/chain.js';
 import { PeerServer } from '../peers/peerRpc.js';
@@ -59,13 +61,13 @@
   readonly createPeerClient: (getAddress: (peer: VmId) => string | undefined) => PeerClient;
   /** Default 1. */
   readonly accountShards?: number;
-  /** How much spending an allotment covers, in milliseconds. Default 12,000. */
+  /** How much spending an allotment covers, in milliseconds. Default 8,500. */
   readonly horizonMs?: number;
   /** In [0, 1). Default `Math.random`. */
   readonly random?: () => number;
 }
 
-const HORIZON_MS = 12_000; // partitions from the store last up to 9 s, and demand varies
+const HORIZON_MS = 8_500; // partitions from the store last up to 9 s; peers that reach each other lend what is uneven
 const POISON_DEATHS = 3; // endpoints also break off innocent calls; a call may crash three before it must stop
 const OUTAGE_GRACE_MS = 2_000; // entries that lapsed with the store are back within this time
 const STOP_CLOSING_MS = 3_200; // the balancer has taken the process out by then, after two missed questions
@@ -180,6 +182,7 @@
           logger,
           vm,
           run,
+          extensions: new ExtensionClient({ client: this.peerClient, vm, part }),
           address: `${peerAddress.host}:${peerAddress.port}`,
           horizonMs: this.options.horizonMs ?? HORIZON_MS,
           getTotals: () => this.totals,
@@ -192,9 +195,8 @@
     const { timers, logger } = this.options;
     const transfers = new TransferController({
       client: this.peerClient,
-      getPeers: () => this.getPeers(),
-      lendTokens: (budget, need, want) =>
-        Promise.resolve(this.escrow.lendTokens(budget, need, want)),
+      getPeers: (budget) => this.getLenders(budget),
+      lendTokens: (budget, need, want) => this.escrow.lendTokens(budget, need, want),
       receiveTokens: () => {},
       timeoutMs: 100,
     });
@@ -286,8 +288,11 @@
   }
 
   private createPeerServer(): PeerServer {
+    const witness = new ExtensionWitness(this.options.run);
     return new PeerServer(this.options.sharedKey, {
       'budget.transfer': (request) => this.transfers.lend(request),
+      'escrow.extend': (request) => witness.record(request),
+      'escrow.extended': (query) => witness.answer(query),
       'gateway.state': (request) => this.peerSync.createAnswer(request),
     });
   }
@@ -361,6 +366,14 @@
       .map(({ host, port }) => brandId(`${host}:${port}`));
   }
 
+  /** Returns the other gateways, those first that hold most of a budget. */
+  private getLenders(budget: BudgetId): VmId[] {
+    const ledgers = this.shards.map(({ ledger }) => ledger);
+    const getHeld = (vm: VmId) =>
+      ledgers.reduce((sum, ledger) => sum + ledger.getHeld(budget, vm), 0);
+    return this.getPeers().sort((a, b) => getHeld(b) - getHeld(a));
+  }
+
   /** A peer known only from the settings is named by its address. */
   private getPeerAddress(peer: VmId): string | undefined {
     return this.shards[0]!.ledger.holders.get(peer)?.address ?? peer;
--- a/src/peers/peerRpc.ts
+++ b/src/peers/peerRpc.ts
@@ -118,6 +118,12 @@
   ) => PeerMethods[Method]['result'] | Promise<PeerMethods[Method]['result']>;
 };
 
+/** What answers the methods of routers that follow rules. */
+export type RouterPeerHandlers = Pick<
+  PeerHandlers,
+  'peer.probe' | 'budget.transfer' | 'budget.give' | 'rules.get'
+>;
+
 /** Answers signed messages of peers. */
 export class PeerServer {
   private readonly server = new JSONRPCServer();
--- a/src/types/peers.ts
+++ b/src/types/peers.ts
@@ -1,6 +1,6 @@
 /** The messages between routers, carried by JSON-RPC 2.0. */
 import type { EndpointEntry } from './gateway.js';
-import type { BudgetId, RulesVersion, VmId } from './ids.js';
+import type { BudgetId, Incarnation, RulesVersion, VmId } from './ids.js';
 import type { EditEntry } from './records.js';
 
 /** How often a body was in flight on an endpoint that died. */
@@ -65,12 +65,36 @@
   readonly endpoints: readonly EndpointEntry[];
 }
 
+/** Asks a witness to note that a holder opens all that a record claims. */
+export interface ExtensionRequest extends ExtensionQuery {
+  readonly sequence: number;
+}
+
+/** Asks a witness what it noted of a run that is over. */
+export interface ExtensionQuery {
+  readonly holder: VmId;
+  /** The part of the accounts. */
+  readonly part: number;
+  readonly run: Incarnation;
+  /** The run of the witness that the record names; a later one remembers nothing. */
+  readonly witnessRun: Incarnation;
+}
+
+/** What a witness noted. */
+export interface ExtensionAnswer {
+  readonly isWitness: boolean;
+  /** The last record whose claims were opened, 0 for none. */
+  readonly sequence: number;
+}
+
 /** The methods by name, each with its parameters and its result. */
 export interface PeerMethods {
   'peer.probe': { params: ProbeMessage; result: ProbeMessage };
   'budget.transfer': { params: TransferRequest; result: TransferAnswer };
   'budget.give': { params: GiftRequest; result: TransferAnswer };
   'gateway.state': { params: GatewayStateRequest; result: GatewayStateAnswer };
+  'escrow.extend': { params: ExtensionRequest; result: ExtensionAnswer };
+  'escrow.extended': { params: ExtensionQuery; result: ExtensionAnswer };
   'rules.get': { params: RulesRequest; result: RulesAnswer };
 }
 
--- /dev/null
+++ b/tests/gateway/decisions.test.ts
@@ -0,0 +1,302 @@
+import { test } from 'node:test';
+import { expect } from 'earl';
+import fc from 'fast-check';
+import { createLogger } from '../../src/core/logging.js';
+import { VirtualTimers } from '../../src/core/timers.js';
+import {
+  getAllotmentTarget,
+  planAllotment,
+  type AllotmentSituation,
+} from '../../src/escrow/allotmentPlan.js';
+import { DemandRate } from '../../src/escrow/demandRate.js';
+import { EndpointDirectory } from '../../src/gateway/endpointDirectory.js';
+import { EventSplitter } from '../../src/gateway/forward/eventSplitter.js';
+import { RetryAllowance } from '../../src/gateway/forward/retryAllowance.js';
+import { mayTryAgain, type RetrySituation } from '../../src/gateway/forward/retryDecision.js';
+import { choosePlacement, type PlacementCandidate } from '../../src/gateway/placement.js';
+import { chooseService, RouteTable } from '../../src/gateway/routeTable.js';
+import type { EndpointEntry, Route } from '../../src/types/gateway.js';
+import { brandId, type ServiceName } from '../../src/types/ids.js';
+
+const logger = createLogger({ level: 'error' });
+
+function createRoute(pathPrefix: string, host = 'h'): Route {
+  return {
+    name: brandId(pathPrefix),
+    host,
+    pathPrefix,
+    split: [
+      { service: brandId('a'), weight: 90 },
+      { service: brandId('b'), weight: 10 },
+    ],
+    isStream: false,
+    repeatability: 'once',
+    attempts: 1,
+    timeoutMs: 1_000,
+    targetMs: 100,
+    pauseMs: 0,
+    rank: 0,
+    isPublic: false,
+  };
+}
+
+test('the longest prefix of the host wins', () => {
+  const table = new RouteTable(['/', '/a/', '/a/b/'].map((prefix) => createRoute(prefix)));
+  expect(table.find('h', '/a/b/c')?.pathPrefix).toEqual('/a/b/');
+  expect(table.find('h', '/a/b')?.pathPrefix).toEqual('/a/');
+  expect(table.find('h', '/x')?.pathPrefix).toEqual('/');
+  expect(table.find('other', '/a/')).toEqual(undefined);
+  expect(new RouteTable([createRoute('/a/')]).find('h', '/b/')).toEqual(undefined);
+});
+
+test('services get their weights', () => {
+  const route = createRoute('/');
+  expect(chooseService(route, 0.89)).toEqual(brandId<ServiceName>('a'));
+  expect(chooseService(route, 0.91)).toEqual(brandId<ServiceName>('b'));
+});
+
+test('events come out whole and in order however the bytes are cut', () => {
+  const text = 'id: 1\ndata: a\n\nid: 2\r\ndata: b\r\n\r\ndata: c\n\nid: 4\ndata: half';
+  fc.assert(
+    fc.property(fc.array(fc.integer({ min: 1, max: 9 }), { minLength: 60 }), (cuts) => {
+      const splitter = new EventSplitter();
+      const events: (string | undefined)[] = [];
+      let whole = '';
+      let start = 0;
+      [...cuts, text.length].forEach((length) => {
+        splitter.push(Buffer.from(text.slice(start, start + length))).forEach(({ id, bytes }) => {
+          events.push(id);
+          whole += bytes.toString();
+        });
+        start += length;
+      });
+      expect(events).toEqual(['1', '2', undefined]);
+      expect(whole + splitter.getRest().toString()).toEqual(text);
+    }),
+    { seed: 4, numRuns: 200 },
+  );
+});
+
+const situation: RetrySituation = {
+  failure: 'broken',
+  repeatability: 'repeatable',
+  attempts: 2,
+  runs: 1,
+  tries: 1,
+  isStarted: false,
+  canResume: false,
+  timeLeftMs: 1_000,
+};
+
+test('a call that may have run and may not be repeated is never sent again', () => {
+  const failures = ['broken', 'crossed', 'notGenuine', 'serverError', 'silent'] as const;
+  failures.forEach((failure) => {
+    expect(mayTryAgain({ ...situation, failure, repeatability: 'once', runs: 0 })).toEqual(false);
+  });
+  expect(mayTryAgain({ ...situation, failure: 'refused', repeatability: 'once' })).toEqual(true);
+});
+
+test('runs stay within the attempts, and a started stream goes on only after a known event', () => {
+  expect(mayTryAgain(situation)).toEqual(true);
+  expect(mayTryAgain({ ...situation, runs: 2 })).toEqual(false);
+  const started = { ...situation, repeatability: 'resumable', isStarted: true } as const;
+  expect(mayTryAgain({ ...started, canResume: true })).toEqual(true);
+  expect(mayTryAgain(started)).toEqual(false);
+  expect(mayTryAgain({ ...situation, timeLeftMs: 5 })).toEqual(false);
+});
+
+test('retries of all routers together stay within the share and the reserve when every call fails', () => {
+  const routers = 6;
+  const allowances = Array.from(
+    { length: routers },
+    () =>
+      new RetryAllowance({ windowMs: 10_000, share: 0.2, reserve: 52, getRouters: () => routers }),
+  );
+  const sent: number[] = [];
+  const calls: number[] = [];
+  for (let ms = 0; ms < 30_000; ms += 10) {
+    const allowance = allowances[(ms / 10) % routers]!;
+    calls.push(ms);
+    allowance.recordCall(ms);
+    for (let tries = 0; tries < 3 && allowance.tryTake(ms); tries += 1) {
+      sent.push(ms);
+    }
+  }
+  for (let start = 0; start < 20_000; start += 500) {
+    const isIn = (ms: number) => ms >= start && ms < start + 10_000;
+    expect(sent.filter(isIn).length).toBeLessThanOrEqual(calls.filter(isIn).length * 0.2 + 52);
+  }
+  expect(sent.length).toBeGreaterThan(100);
+});
+
+function createCandidates(unread: readonly number[]): PlacementCandidate[] {
+  return unread.map((unreadTokens, index) => ({
+    id: `e${index}`,
+    availabilityZone: index % 2 === 0 ? 'a' : 'b',
+    slots: 64,
+    inFlight: 0,
+    unreadTokens,
+  }));
+}
+
+const promptParts = [
+  { id: 'system', tokens: 500 },
+  { id: 'shop', tokens: 5_000 },
+  { id: 'own', tokens: 900 },
+];
+
+test('prompts of one subject stay together until the endpoint has more to read than they share', () => {
+  const call = { promptTokens: 6_400, promptParts, availabilityZone: 'a' };
+  const idle = createCandidates([0, 0, 0, 0, 0]);
+  const home = choosePlacement(idle, call, () => 0);
+  const busy = idle.map((candidate, index) =>
+    index === home ? { ...candidate, unreadTokens: 5_400 } : candidate,
+  );
+  expect(choosePlacement(busy, call, () => 0)).toEqual(home);
+  const full = idle.map((candidate, index) =>
+    index === home ? { ...candidate, unreadTokens: 5_600 } : candidate,
+  );
+  expect(choosePlacement(full, call, () => 0)).not.toEqual(home);
+  const other = {
+    ...call,
+    promptParts: [promptParts[0]!, { id: 'shop', tokens: 9 }, { id: 'x', tokens: 1 }],
+  };
+  expect(choosePlacement(idle, other, () => 0)).toEqual(home);
+});
+
+test('plain calls go to the least busy endpoint, in the same zone where that is even', () => {
+  const call = { promptTokens: 0, promptParts: [], availabilityZone: 'b' };
+  const candidates = createCandidates([0, 0, 0]);
+  expect(choosePlacement(candidates, call, () => 0)).toEqual(1);
+  const busy = candidates.map((candidate, index) =>
+    index === 1 ? { ...candidate, inFlight: 5 } : candidate,
+  );
+  expect(choosePlacement(busy, call, () => 0)).toEqual(0);
+  expect(choosePlacement([], call, () => 0)).toEqual(-1);
+});
+
+const allotment: AllotmentSituation = {
+  total: 100_000,
+  claimed: 50_000,
+  left: 60_000,
+  free: 0,
+  freeOpened: 0,
+  hasWitnesses: true,
+  expected: 4_000,
+  meanHold: 500,
+  share: 0.25,
+  needed: 0,
+  wantedByOthers: 0,
+};
+
+test('claims never pass the total, and what is opened never passes what is claimed', () => {
+  const amount = fc.nat(100_000);
+  fc.assert(
+    fc.property(
+      fc.record({
+        total: amount,
+        claimed: amount,
+        left: amount,
+        free: fc.nat(20_000),
+        freeOpened: fc.nat(20_000),
+        hasWitnesses: fc.boolean(),
+        expected: amount,
+        meanHold: fc.nat(60_000),
+        share: fc.double({ min: 0, max: 1, noNaN: true }),
+        needed: fc.nat(80_000),
+        wantedByOthers: fc.nat(80_000),
+      }),
+      (random) => {
+        const given = { ...random, freeOpened: Math.min(random.freeOpened, random.free) };
+        const plan = planAllotment(given);
+        expect(plan.claimed <= Math.max(0, given.total - given.claimed)).toEqual(true);
+        expect(given.free + plan.claimed >= 0).toEqual(true);
+        expect(given.freeOpened + plan.opened <= given.free + plan.claimed).toEqual(true);
+        expect(given.freeOpened + plan.opened >= 0).toEqual(true);
+        expect(Number.isInteger(plan.claimed) && Number.isInteger(plan.opened)).toEqual(true);
+      },
+    ),
+    { seed: 5, numRuns: 2_000 },
+  );
+});
+
+test('an idle holder gives up what others lack and does not claim it again', () => {
+  const lacking = {
+    ...allotment,
+    claimed: 100_000,
+    free: 3_000,
+    freeOpened: 600,
+    wantedByOthers: 8_000,
+  };
+  expect(planAllotment(lacking).claimed).toEqual(-2_500);
+  const given = { ...lacking, claimed: 97_500, free: 500, freeOpened: 500 };
+  expect(planAllotment(given).claimed <= 0).toEqual(true);
+});
+
+test('all holders together keep less than half of what is left, however much they expect', () => {
+  const target = getAllotmentTarget({ ...allotment, expected: 1_000_000 });
+  expect(target / allotment.share).toBeLessThanOrEqual(allotment.left / 2);
+});
+
+test('the demand is right from the first seconds of a steady load', () => {
+  const rate = new DemandRate(8_500);
+  for (let ms = 0; ms <= 5_000; ms += 100) {
+    rate.add(100, ms);
+  }
+  const tokensPerSecond = rate.getTokensPerSecond(5_000);
+  expect(tokensPerSecond).toBeGreaterThan(900);
+  expect(tokensPerSecond).toBeLessThan(1_150);
+});
+
+const entry: EndpointEntry = {
+  id: brandId('e'),
+  startedAtMs: 100,
+  sequence: 2,
+  service: brandId('s'),
+  host: '127.0.0.1',
+  port: 80,
+  availabilityZone: brandId('z'),
+  slots: 4,
+  state: 'ready',
+  warmupMs: 0,
+};
+
+function createDirectory(timers = new VirtualTimers()): EndpointDirectory {
+  return new EndpointDirectory({ logger, timers });
+}
+
+test('an older entry of an endpoint changes nothing, a later start is another endpoint', () => {
+  const directory = createDirectory();
+  directory.apply({ ...entry, state: 'leaving' });
+  directory.apply({ ...entry, sequence: 1 });
+  expect(directory.getEndpoints(entry.service)[0]?.isLeaving).toEqual(true);
+  directory.apply({ ...entry, startedAtMs: 200, sequence: 0 });
+  expect(directory.getEndpoints(entry.service).map(({ isLeaving }) => isLeaving)).toEqual([false]);
+  directory.apply({ ...entry, startedAtMs: 100, sequence: 9, state: 'leaving' });
+  expect(directory.getEndpoints(entry.service).map(({ isLeaving }) => isLeaving)).toEqual([false]);
+});
+
+test('an endpoint whose address answers as another one gets no work until it starts again', () => {
+  const directory = createDirectory();
+  directory.apply(entry);
+  directory.markEnded(directory.getEndpoints(entry.service)[0]!);
+  directory.remove(entry.id, 'test');
+  directory.apply({ ...entry, sequence: 5 });
+  expect(directory.getEndpoints(entry.service)[0]?.isLeaving).toEqual(true);
+  directory.apply({ ...entry, startedAtMs: 300 });
+  expect(directory.getEndpoints(entry.service)[0]?.isLeaving).toEqual(false);
+});
+
+test('entries that an outage dropped may come back in time, others are gone', async () => {
+  const timers = new VirtualTimers();
+  const directory = createDirectory(timers);
+  directory.apply(entry);
+  directory.apply({ ...entry, id: brandId('f') });
+  directory.retain(new Set(), 2_000);
+  await timers.advance(1_000);
+  directory.apply(entry);
+  await timers.advance(1_500);
+  expect(directory.getEndpoints(entry.service).map(({ entry: { id } }) => id)).toEqual([entry.id]);
+  directory.retain(new Set());
+  expect(directory.getSize()).toEqual(0);
+});
--- /dev/null
+++ b/tests/gateway/endpointCall.test.ts
@@ -0,0 +1,126 @@
+import { once } from 'node:events';
+import { createServer, type AddressInfo, type Server, type Socket } from 'node:net';
+import { test, type TestContext } from 'node:test';
+import { expect } from 'earl';
+import { SystemTimers } from '../../src/core/timers.js';
+import { readWholeAnswer } from '../../src/gateway/forward/answerRelay.js';
+import { EndpointAgent } from '../../src/gateway/forward/endpointAgent.js';
+import { EndpointCall, type SendResult } from '../../src/gateway/forward/endpointCall.js';
+
+/** Serves each connection by a function, on a free port of the loopback address, until the test ends. */
+async function serve(context: TestContext, handle: (socket: Socket) => void): Promise<Server> {
+  const sockets = new Set<Socket>();
+  const server = createServer((socket) => {
+    sockets.add(socket);
+    socket.on('error', () => {});
+    handle(socket);
+  });
+  context.after(() => {
+    sockets.forEach((socket) => socket.destroy());
+    server.close();
+  });
+  server.listen(0, '127.0.0.1');
+  await once(server, 'listening');
+  return server;
+}
+
+function createAgent(context: TestContext): EndpointAgent {
+  const agent = new EndpointAgent();
+  context.after(() => agent.destroy());
+  return agent;
+}
+
+function call(server: Server, agent: EndpointAgent): EndpointCall {
+  const { port } = server.address() as AddressInfo;
+  return new EndpointCall({
+    agent,
+    timers: new SystemTimers(),
+    address: { host: '127.0.0.1', port },
+    method: 'GET',
+    target: '/',
+    headers: ['Host', 'x'],
+    body: Buffer.alloc(0),
+  });
+}
+
+async function readAnswer(sent: EndpointCall): Promise<string | undefined> {
+  const result = await sent.sent;
+  if (result.kind !== 'answered') {
+    return undefined;
+  }
+  const body = await readWholeAnswer({ message: result.answer, isSound: () => sent.isSound() });
+  return body?.toString();
+}
+
+const HEAD = 'HTTP/1.1 200 OK\r\n';
+
+test('an answer without a length whose connection is reset is never complete', async (context) => {
+  const server = await serve(context, (socket) => {
+    socket.once('data', () => {
+      socket.write(`${HEAD}\r\nhalf`);
+      socket.resetAndDestroy();
+    });
+  });
+  const agent = createAgent(context);
+  for (let run = 0; run < 60; run += 1) {
+    // One after another, so that each connection ends alone.
+    expect(await readAnswer(call(server, agent))).toEqual(undefined);
+  }
+});
+
+test('an answer without a length whose connection ends properly is complete', async (context) => {
+  const server = await serve(context, (socket) => {
+    socket.once('data', () => socket.end(`${HEAD}\r\nwhole`));
+  });
+  const agent = createAgent(context);
+  for (let run = 0; run < 20; run += 1) {
+    // One after another, so that each connection ends alone.
+    expect(await readAnswer(call(server, agent))).toEqual('whole');
+  }
+});
+
+test('a body shorter than its length is not complete', async (context) => {
+  const server = await serve(context, (socket) => {
+    socket.once('data', () => socket.end(`${HEAD}Content-Length: 9\r\n\r\nhalf`));
+  });
+  const agent = createAgent(context);
+  expect(await readAnswer(call(server, agent))).toEqual(undefined);
+});
+
+test('a connection on which a second answer came is not used again', async (context) => {
+  const sockets = new Set<Socket>();
+  const server = await serve(context, (socket) => {
+    sockets.add(socket);
+    socket.on('data', () => {
+      socket.write(`${HEAD}Content-Length: 3\r\n\r\none`);
+      setImmediate(() => socket.write(`${HEAD}Content-Length: 5\r\n\r\nextra`));
+    });
+  });
+  const agent = createAgent(context);
+  expect(await readAnswer(call(server, agent))).toEqual('one');
+  await once([...sockets][0]!, 'close');
+  expect(await readAnswer(call(server, agent))).toEqual('one');
+  expect(sockets.size).toEqual(2);
+});
+
+test('a connection that never came about is told apart from one that broke', async (context) => {
+  const server = await serve(context, (socket) => {
+    socket.once('data', () => socket.destroy());
+  });
+  const agent = createAgent(context);
+  const kindOf = async (sent: Promise<SendResult>) => (await sent).kind;
+  expect(await kindOf(call(server, agent).sent)).toEqual('broken');
+  const { port } = server.address() as AddressInfo;
+  server.close();
+  await once(server, 'close');
+  const refused = new EndpointCall({
+    agent,
+    timers: new SystemTimers(),
+    address: { host: '127.0.0.1', port },
+    method: 'GET',
+    target: '/',
+    headers: ['Host', 'x'],
+    body: Buffer.alloc(0),
+  });
+  expect(await kindOf(refused.sent)).toEqual('unreachable');
+});
--- /dev/null
+++ b/tests/platform/codecs.test.ts
@@ -0,0 +1,240 @@
+import { test } from 'node:test';
+import { expect } from 'earl';
+import fc from 'fast-check';
+import { decodeEndpointEntry } from '../../platform/endpointEntry.js';
+import { decodeGatewayConfig } from '../../platform/gatewayConfig.js';
+import { PlatformHeaders } from '../../platform/headerCodec.js';
+import { decodePage, encodeKeyedRecord } from '../../platform/recordCodec.js';
+import { decodeSettings } from '../../platform/settings.js';
+import { getSha256 } from '../../src/core/utilities.js';
+import type { CallFacts } from '../../src/types/gateway.js';
+
+const codec = new PlatformHeaders();
+
+function createPage(end: number, first: number, records: readonly Buffer[]): Buffer {
+  const head = Buffer.alloc(16);
+  head.writeBigUInt64BE(BigInt(end), 0);
+  head.writeBigUInt64BE(BigInt(first), 8);
+  return Buffer.concat([head, ...records]);
+}
+
+test('records come back as they were encoded, at their offsets', () => {
+  fc.assert(
+    fc.property(
+      fc.array(
+        fc.tuple(
+          fc.string({ minLength: 1, maxLength: 40 }),
+          fc.uint8Array({ minLength: 1, maxLength: 50 }),
+        ),
+      ),
+      (pairs) => {
+        const bytes = createPage(
+          7,
+          0,
+          pairs.map(([key, value]) => encodeKeyedRecord(key, value)),
+        );
+        const { records } = decodePage(bytes, 100);
+        expect(
+          records.map((item) => item.kind === 'record' && [item.record.key, item.record.offset]),
+        ).toEqual(pairs.map(([key], index) => [key, (100 + index) as never]));
+      },
+    ),
+    { seed: 3, numRuns: 200 },
+  );
+});
+
+test('a record without a key spoils only itself', () => {
+  const bytes = createPage(2, 0, [
+    Buffer.from([0, 0, 0, 1, 9]),
+    encodeKeyedRecord('a', Buffer.from('b')),
+  ]);
+  expect(decodePage(bytes, 0).records.map(({ kind }) => kind)).toEqual(['malformed', 'record']);
+});
+
+test('broken framing is an error that names the byte', () => {
+  const whole = createPage(1, 0, [encodeKeyedRecord('a', Buffer.from('bcd'))]);
+  expect(() => decodePage(whole.subarray(0, whole.length - 1), 0)).toThrow('record at byte 16');
+  expect(() => decodePage(whole.subarray(0, 9), 0)).toThrow('16 bytes of offsets');
+  expect(() => encodeKeyedRecord('', Buffer.alloc(0))).toThrow('key');
+});
+
+const callHeaders = [
+  'Host',
+  'Yard.example:80',
+  'Shallotrock-Attempt-Id',
+  'a1',
+  'Shallotrock-Credential',
+  'key',
+  'Shallotrock-Token-Usage',
+  '1460,80',
+  'Shallotrock-Prompt-Prefix',
+  '5c:800,91:410,e4:250',
+  'Shallotrock-Deadline-Ms',
+  '3000',
+  'Shallotrock-Tenant',
+  'forged',
+  'Shallotrock-Kv-Hold',
+  'forged',
+  'Kv-From',
+  'forged',
+  'Connection',
+  'keep-alive, X-Hop',
+  'X-Hop',
+  '1',
+  'X-Other',
+  'kept',
+  'Content-Length',
+  '3',
+];
+
+function readCall(): CallFacts {
+  const facts = codec.readCall(callHeaders);
+  if ('field' in facts) {
+    throw new Error(facts.detail);
+  }
+  return facts;
+}
+
+test('a call is read into what the gateway needs, its key only as a hash', () => {
+  const { passedHeaders, ...facts } = readCall();
+  expect(facts).toEqual({
+    id: 'a1',
+    host: 'yard.example',
+    keyHash: getSha256('key'),
+    waitMs: 3_000,
+    tokens: { prompt: 1_460, maxOutput: 80 },
+    promptParts: [
+      { id: '5c', tokens: 800 },
+      { id: '91', tokens: 410 },
+      { id: 'e4', tokens: 250 },
+    ],
+    expectedOutput: undefined,
+    lastEventId: undefined,
+    declaresBody: true,
+  });
+  expect(passedHeaders.filter((_, index) => index % 2 === 0)).toEqual([
+    'Host',
+    'Shallotrock-Attempt-Id',
+    'Shallotrock-Token-Usage',
+    'Shallotrock-Prompt-Prefix',
+    'X-Other',
+  ]);
+});
+
+test('what only the system sets is set by it, whatever the caller sent', () => {
+  const sent = codec.createEndpointHeaders(readCall(), {
+    endpoint: 'e1' as never,
+    workspace: 'w' as never,
+    waitMs: 2_500.7,
+    urgency: 2,
+    lastEventId: undefined,
+    bodyBytes: 3,
+  });
+  expect(sent.join('|')).toInclude('shallotrock-tenant|w|');
+  expect(sent.join('|')).toInclude('shallotrock-expect-instance|e1|shallotrock-deadline-ms|2500');
+  expect(sent.includes('forged')).toEqual(false);
+});
+
+test('a call without an id, with a second one or with unreadable tokens names the field', () => {
+  const without = codec.readCall(['Host', 'x']);
+  expect('field' in without && without.field).toEqual('shallotrock-attempt-id');
+  const twice = codec.readCall([...callHeaders, 'shallotrock-attempt-id', 'b']);
+  expect('field' in twice && twice.detail).toEqual('the header is repeated');
+  const tokens = codec.readCall(['Shallotrock-Attempt-Id', 'a', 'Shallotrock-Token-Usage', '12']);
+  expect('field' in tokens && tokens.field).toEqual('shallotrock-token-usage');
+});
+
+test('an answer is crossed, not run or not genuine by its headers', () => {
+  const read = (status: number, ...raw: string[]) => codec.readAnswer('a1', status, raw);
+  expect(read(200, 'Shallotrock-Attempt-Id', 'b2').isCrossed).toEqual(true);
+  expect(read(200, 'Shallotrock-Attempt-Id', 'a1').isCrossed).toEqual(false);
+  expect(read(503, 'Shallotrock-Not-Executed', '1').isNotRun).toEqual(true);
+  expect(read(503).isNotRun).toEqual(false);
+  expect(read(421).isWrongEndpoint).toEqual(true);
+  expect(read(200, 'Shallotrock-Instance-Seal', 's').isGenuine).toEqual(true);
+  expect(read(200, 'Shallotrock-Instance-Seal', 's', 'Content-Encoding', 'gzip').isGenuine).toEqual(
+    false,
+  );
+});
+
+const config = {
+  version: 7,
+  routes: [
+    {
+      name: 'r',
+      hostname: 'Yard.example',
+      pathPrefix: '/a/',
+      type: 'streaming',
+      timeoutMs: 12_000,
+      service: 's',
+      attempts: 2,
+      resumable: true,
+      newField: 1,
+    },
+    { name: 'q', hostname: 'y', pathPrefix: '/b/', type: 'unknown', timeoutMs: 1, service: 's' },
+  ],
+  services: [{ name: 's', maxConns: 9, backendType: { slots: 64, stride: 7 } }],
+  tenants: [{ name: 'w', apiKeys: ['key'], prepaid: 100 }],
+  limits: { maxHeaderBytes: 1, maxBodyBytes: 2, headerTimeoutMs: 3, idleTimeoutMs: 4 },
+};
+
+test('a configuration is decoded; a type that is not known may not be repeated', () => {
+  const decoded = decodeGatewayConfig(Buffer.from(JSON.stringify(config))).unwrap();
+  expect(decoded.routes.map(({ repeatability, host }) => [repeatability, host])).toEqual([
+    ['resumable', 'yard.example'],
+    ['once', 'y'],
+  ]);
+  expect(decoded.workspaces?.[0]?.keyHashes).toEqual([getSha256('key')]);
+  expect(decoded.services[0]?.engine?.tokensPerEvent).toEqual(7);
+});
+
+test('a configuration that can not be read names the field', () => {
+  const broken = { ...config, limits: { ...config.limits, maxBodyBytes: 'x' } };
+  const result = decodeGatewayConfig(Buffer.from(JSON.stringify(broken)));
+  expect(String(result.val)).toInclude('limits.maxBodyBytes');
+});
+
+test("someone else's bytes name no endpoint", () => {
+  const entry = {
+    service: 's',
+    address: '10.0.0.1:80',
+    zone: 'z',
+    slots: 4,
+    state: 'ready',
+    seq: 1,
+  };
+  const decode = (value: unknown) => decodeEndpointEntry('e', Buffer.from(JSON.stringify(value)));
+  expect(decode({ ...entry, born: 17 }).unwrap().startedAtMs).toEqual(17);
+  [{ ...entry, state: 'gone' }, { ...entry, slots: '4' }, { ...entry, address: 5 }, null].forEach(
+    (value) => expect(decode(value).err).toEqual(true),
+  );
+  expect(decodeEndpointEntry('e', Buffer.from([0xff, 0xfe])).err).toEqual(true);
+});
+
+const settings = `
+nodeName = "n"
+zone = "z"
+ip = "10.1.0.40"
+seeds = ["10.1.0.41:8229"]
+[listen]
+frontend = "10.1.0.40:8227"
+readiness = "10.1.0.40:8220"
+controlPlane = "10.1.0.40:8229"
+[bounds]
+graceS = 8
+retryRatio = 0.2
+retryBurst = 52
+retryWindowS = 10
+[platform]
+address = "10.200.1.7:8223"
+`;
+
+test('settings are decoded, and an error names the field or the line', () => {
+  const decoded = decodeSettings(settings).unwrap();
+  expect(decoded.callerAddress).toEqual({ host: '10.1.0.40', port: 8_227 });
+  expect(decoded.graceMs).toEqual(8_000);
+  const wrong = decodeSettings(settings.replace('"10.1.0.40:8220"', '8220'));
+  expect(String(wrong.val)).toInclude('listen.readiness');
+  const syntax = decodeSettings('a = [');
+  expect(syntax.err).toEqual(true);
+});
--- /dev/null
+++ b/tests/properties/escrow.test.ts
@@ -0,0 +1,196 @@
+import { test } from 'node:test';
+import { expect } from 'earl';
+import fc from 'fast-check';
+import { EscrowController } from '../../src/escrow/escrowController.js';
+import { Ok } from '../../src/core/results.js';
+import { escrowEvents, EscrowModel, type EscrowEvent, type EscrowMutation } from './escrowModel.js';
+
+const SEED = 20_261_204;
+
+/** Returns the shortest failing events as text, or an empty text where the sum held. */
+async function findOverspend(
+  runs: number,
+  seed: number,
+  mutate?: EscrowMutation,
+  shrink = true,
+): Promise<string> {
+  const details = await fc.check(
+    fc.asyncProperty(escrowEvents, async (events) => {
+      const wrong = await new EscrowModel(seed, mutate).play(events);
+      if (wrong !== undefined) {
+        throw new Error(wrong);
+      }
+    }),
+    { seed, numRuns: runs, endOnFailure: !shrink },
+  );
+  return details.failed
+    ? `${String(details.errorInstance)} ${JSON.stringify(details.counterexample)}`
+    : '';
+}
+
+test('no budget is overspent over 1,000 interleavings of kills, cuts, freezes and lost appends', async () => {
+  expect(await findOverspend(1_000, SEED)).toEqual('');
+});
+
+/** Requests of one vm, one after another. */
+function sendRequests(vm: number, count: number, tokens: number): EscrowEvent[] {
+  return Array.from({ length: count }, () => [
+    { kind: 'request' as const, vm, tokens, runMs: 20 },
+    { kind: 'wait' as const, forMs: 120 },
+  ]).flat();
+}
+
+const drain = [1, 2, 3, 1, 2, 3].flatMap((vm) => sendRequests(vm, 8, 400));
+
+/** A vm spends past the store, dies, and its tokens must not come back. */
+const deathAfterExtension: readonly EscrowEvent[] = [
+  ...sendRequests(0, 5, 100),
+  { kind: 'cutStore', vm: 0, all: false },
+  ...sendRequests(0, 30, 100),
+  { kind: 'kill', vm: 0, all: false },
+  { kind: 'healStore' },
+  ...drain,
+];
+
+/** The same, with one witness that is out of the successor's reach. */
+const deathAfterHiddenExtension: readonly EscrowEvent[] = [
+  ...sendRequests(0, 5, 100),
+  { kind: 'cutStore', vm: 0, all: false },
+  { kind: 'cutPeers', vm: 0, other: 2 },
+  { kind: 'cutPeers', vm: 0, other: 3 },
+  ...sendRequests(0, 30, 100),
+  { kind: 'healPeers' },
+  { kind: 'cutPeers', vm: 0, other: 1 },
+  { kind: 'kill', vm: 0, all: false },
+  { kind: 'healStore' },
+  ...drain,
+];
+
+const scripts = { deathAfterExtension, deathAfterHiddenExtension };
+
+const scriptedMutants: readonly {
+  readonly name: string;
+  readonly script: keyof typeof scripts;
+  readonly mutate: EscrowMutation;
+}[] = [
+  {
+    name: 'a successor returns unopened claims without asking witnesses',
+    script: 'deathAfterExtension',
+    mutate: ({ extensions }) => {
+      extensions.isUnextended = () => Promise.resolve(true);
+    },
+  },
+  {
+    name: 'a process opens its claims though no witness noted it',
+    script: 'deathAfterHiddenExtension',
+    mutate: ({ extensions }) => {
+      extensions.extend = () => Promise.resolve(true);
+    },
+  },
+  {
+    name: 'one witness is enough for an extension',
+    script: 'deathAfterHiddenExtension',
+    mutate: ({ extensions }) => {
+      const { extend } = extensions;
+      extensions.extend = async (records, run, sequence) => {
+        const each = records[0]!.map((witness) =>
+          extend.call(extensions, [[witness]], run, sequence),
+        );
+        return (await Promise.all(each)).includes(true);
+      };
+    },
+  },
+];
+
+Object.entries(scripts).forEach(([name, events]) => {
+  test(`no budget is overspent in ${name}`, async () => {
+    const model = new EscrowModel(SEED);
+    expect(await model.play(events)).toEqual(undefined);
+    expect(model.served).toBeGreaterThan(20);
+  });
+});
+
+scriptedMutants.forEach(({ name, script, mutate }) => {
+  test(`${script} finds that ${name}`, async () => {
+    expect(await new EscrowModel(SEED, mutate).play(scripts[script])).not.toEqual(undefined);
+  });
+});
+
+const mutants: readonly { readonly name: string; readonly mutate: EscrowMutation }[] = [
+  {
+    name: 'a claim is appended whatever others have claimed since',
+    mutate: ({ store }) => {
+      const { append } = store;
+      store.append = async (options) => {
+        const newest = await store.readNewest(options.topic);
+        return newest.ok ? append.call(store, { ...options, at: newest.val.end }) : newest;
+      };
+    },
+  },
+  {
+    name: 'an append without an answer counts as stored',
+    mutate: ({ store }) => {
+      const { append } = store;
+      store.append = async (options) => {
+        const result = await append.call(store, options);
+        const isUnknown = result.err && result.val.kind === 'unavailable';
+        return isUnknown ? Ok((options.at + 1) as never) : result;
+      };
+    },
+  },
+  {
+    name: 'tokens lent to a peer stay free here',
+    mutate: ({ escrow, shard }) => {
+      const { lendTokens } = EscrowController.prototype;
+      escrow.lendTokens = async (budget, need, want) => {
+        const tokens = await lendTokens.call(escrow, budget, need, want);
+        shard.getAccount(budget).allotment.credit(tokens);
+        return tokens;
+      };
+    },
+  },
+];
+
+mutants.forEach(({ name, mutate }) => {
+  test(`the interleavings find that ${name}`, async () => {
+    expect(await findOverspend(600, SEED, mutate, false)).not.toEqual('');
+  });
+});
+
+test('a workspace that sends many times its usual through one vm gets nearly all its tokens', async () => {
+  const model = new EscrowModel(1, () => {}, 40_000);
+  const events: EscrowEvent[] = Array.from({ length: 400 }, (_, index) =>
+    index % 2 === 0
+      ? { kind: 'request', vm: index % 8 === 0 ? 1 : 0, tokens: 500, runMs: 200 }
+      : { kind: 'wait', forMs: 40 },
+  );
+  expect(await model.play(events)).toEqual(undefined);
+  expect(model.consumed).toBeGreaterThan(38_800); // 97 in 100 of the total
+});
+
+test('a vm that is cut off from the store serves what it claimed, and what peers lend', async () => {
+  const model = new EscrowModel(1, () => {}, 40_000);
+  const warmUp: EscrowEvent[] = Array.from({ length: 60 }, (_, index) =>
+    index % 2 === 0
+      ? { kind: 'request', vm: (index / 2) % 4, tokens: 100, runMs: 50 }
+      : { kind: 'wait', forMs: 100 },
+  );
+  const cut: EscrowEvent[] = Array.from({ length: 80 }, (_, index) =>
+    index % 2 === 0
+      ? { kind: 'request', vm: 0, tokens: 100, runMs: 50 }
+      : { kind: 'wait', forMs: 100 },
+  );
+  await model.play([...warmUp, { kind: 'cutStore', vm: 0, all: true }, ...cut]);
+  expect(model.refused).toEqual(0);
+});
+
+test('after the death of every process what was never claimed is still served', async () => {
+  const model = new EscrowModel(1, () => {}, 40_000);
+  const requests: EscrowEvent[] = Array.from({ length: 160 }, (_, index) =>
+    index % 2 === 0
+      ? { kind: 'request', vm: (index / 2) % 4, tokens: 100, runMs: 50 }
+      : { kind: 'wait', forMs: 50 },
+  );
+  await model.play([...requests, { kind: 'kill', vm: 0, all: true }, ...requests]);
+  expect(model.refused).toEqual(0);
+});
