--- a/src/gateway/call.ts
+++ b/src/gateway/call.ts
@@ -35,6 +35,11 @@
   /** Output tokens that went to the caller, rounded up to whole events. */
   deliveredTokens = 0;
 
+  /** When tokens were set aside, and when the first event came, in milliseconds after the arrival. */
+  heldAfterMs: number | undefined;
+
+  firstEventAfterMs: number | undefined;
+
   /** Endpoints that the call was sent to, and why each try ended, for the log. */
   readonly tries: string[] = [];
 
--- a/src/gateway/filters/forwardCall.ts
+++ b/src/gateway/filters/forwardCall.ts
@@ -100,7 +100,11 @@
       this.stream = new StreamRelay({
         call,
         tokensPerEvent: service?.engine?.tokensPerEvent ?? 1,
-        onFirstEvent: () => this.current?.recordFirstEvent(),
+        onFirstEvent: () => {
+          const elapsedMs = options.timers.now() - call.arrivedAt;
+          call.firstEventAfterMs ??= Math.round(elapsedMs);
+          this.current?.recordFirstEvent();
+        },
       });
     }
   }
--- a/src/gateway/filters/holdTokens.ts
+++ b/src/gateway/filters/holdTokens.ts
@@ -1,4 +1,5 @@
 /** Sets aside what a call may use at its most, and settles what it used. */
+import type { TimerService } from '../../core/timers.js';
 import { Err } from '../../core/results.js';
 import type { EscrowController } from '../../escrow/escrowController.js';
 import { Filter, type FilterResult } from '../../types/exchange.js';
@@ -9,7 +10,10 @@
 export class HoldTokens extends Filter<GatewayCall> {
   override readonly name = 'holdTokens';
 
-  constructor(private readonly escrow: EscrowController) {
+  constructor(
+    private readonly escrow: EscrowController,
+    private readonly timers: TimerService,
+  ) {
     super();
   }
 
@@ -28,6 +32,7 @@
       return Err(held.refusal);
     }
     call.hold = held.hold;
+    call.heldAfterMs = Math.round(this.timers.now() - call.arrivedAt);
     try {
       return await next();
     } finally {
--- a/src/gateway/forward/endpointTry.ts
+++ b/src/gateway/forward/endpointTry.ts
@@ -221,7 +221,11 @@
   return status >= 200 && status < 300;
 }
 
-/** The rank of the workspace goes before that of the route; engines put 0 first. */
+const RANKS = 3;
+const URGENCY_MAX = 9;
+
+/** The rank of the workspace goes before that of the route, which orders the calls of one rank; 0 goes first. */
 function getUrgency({ workspace, route }: GatewayCall): number {
-  return Math.max(0, Math.min(9, workspace?.rank ?? route.rank));
+  const rank = workspace?.rank ?? route.rank;
+  return Math.max(0, Math.min(URGENCY_MAX, rank * RANKS + Math.min(route.rank, RANKS - 1)));
 }
--- a/src/gateway/gateway.ts
+++ b/src/gateway/gateway.ts
@@ -124,7 +124,7 @@
       new MatchRoute({ getConfig: () => this.config.getInForce(), random: this.getRandom() }),
       new AuthenticateKey(),
       new RejectSuspect(this.suspects),
-      new HoldTokens(this.escrow),
+      new HoldTokens(this.escrow, options.timers),
       this.forward,
     ];
     this.peers = this.createPeerServer();
--- a/src/gateway/gatewayServer.ts
+++ b/src/gateway/gatewayServer.ts
@@ -247,6 +247,8 @@
       retryAfterMs: refusal?.retryAfterMs,
       tries: call.tries,
       hold: call.hold?.tokens,
+      heldAfterMs: call.heldAfterMs,
+      firstEventAfterMs: call.firstEventAfterMs,
       delivered: call.deliveredTokens,
       durationMs: Math.round(durationMs),
     });
--- /dev/null
+++ b/tests/gateway/gateway.test.ts
@@ -0,0 +1,193 @@
+import { test } from 'node:test';
+import { expect } from 'earl';
+import { answerWhole, createRoute, GatewayFleet, sendEvents } from '../support/gatewayFleet.js';
+
+const TIMEOUT = { timeout: 30_000 };
+const TOKENS = { 'shallotrock-token-usage': '100,50' };
+const stream = { isStream: true, repeatability: 'resumable', attempts: 2 } as const;
+
+test('before the first configuration a call is told to come back', TIMEOUT, async (context) => {
+  const fleet = await GatewayFleet.start(context);
+  const answer = await fleet.call('/a/x');
+  expect(answer.status).toEqual(503);
+  expect(Number(answer.headers['retry-after'])).toBeGreaterThan(0);
+  expect(await fleet.getReadiness()).toEqual(503);
+});
+
+test(
+  'a call reaches an endpoint of its route as the workspace of its key',
+  TIMEOUT,
+  async (context) => {
+    const fleet = await GatewayFleet.start(context);
+    await fleet.configure([createRoute('/a/')]);
+    const endpoint = await fleet.addEndpoint('e1', (message, response) =>
+      answerWhole(message, response, 'done'),
+    );
+    const answer = await fleet.call('/a/x?y=1', { 'shallotrock-tenant': 'forged' });
+    expect([answer.status, answer.body]).toEqual([200, 'done']);
+    const [call] = endpoint.calls;
+    expect(call?.url).toEqual('/a/x?y=1');
+    expect(call?.headers['shallotrock-tenant']).toEqual('yard');
+    expect(call?.headers['shallotrock-expect-instance']).toEqual('e1');
+    expect(call?.headers['shallotrock-credential']).toEqual(undefined);
+    expect((await fleet.call('/b/x')).status).toEqual(404);
+    expect((await fleet.call('/a/x', { 'shallotrock-credential': 'other' })).status).toEqual(401);
+    expect(await fleet.getReadiness()).toEqual(200);
+  },
+);
+
+test('a key that is taken away is refused from the next call on', TIMEOUT, async (context) => {
+  const fleet = await GatewayFleet.start(context);
+  await fleet.configure([createRoute('/a/')]);
+  await fleet.addEndpoint('e1', (message, response) => answerWhole(message, response, 'done'));
+  expect((await fleet.call('/a/x')).status).toEqual(200);
+  await fleet.configure([createRoute('/a/')], 100_000, 'another-key');
+  expect((await fleet.call('/a/x')).status).toEqual(401);
+});
+
+test(
+  'a call that may not be repeated and whose connection breaks is not sent again',
+  TIMEOUT,
+  async (context) => {
+    const fleet = await GatewayFleet.start(context);
+    await fleet.configure([createRoute('/a/')]);
+    const endpoints = await Promise.all(
+      ['e1', 'e2'].map((id) => fleet.addEndpoint(id, (message) => message.socket.destroy())),
+    );
+    const answer = await fleet.call('/a/x');
+    expect(answer.status).toEqual(502);
+    expect(endpoints.flatMap(({ calls }) => calls).length).toEqual(1);
+  },
+);
+
+test('a promise that an endpoint did not give is not passed on', TIMEOUT, async (context) => {
+  const fleet = await GatewayFleet.start(context);
+  await fleet.configure([createRoute('/a/')]);
+  await fleet.addEndpoint('e1', (message, response) => answerWhole(message, response, 'busy', 503));
+  expect((await fleet.call('/a/x')).status).toEqual(502);
+});
+
+test('a call that an endpoint did not run goes to another one', TIMEOUT, async (context) => {
+  const fleet = await GatewayFleet.start(context);
+  await fleet.configure([createRoute('/a/')]);
+  let runs = 0;
+  const refuseFirst = (id: string) =>
+    fleet.addEndpoint(id, (message, response) => {
+      runs += 1;
+      if (runs === 1) {
+        response.writeHead(503, { 'shallotrock-not-executed': '1' }).end();
+      } else {
+        answerWhole(message, response, 'done');
+      }
+    });
+  await refuseFirst('e1');
+  await refuseFirst('e2');
+  expect((await fleet.call('/a/x')).status).toEqual(200);
+  expect(runs).toEqual(2);
+});
+
+test(
+  'an answer of another call or without a signature is not passed on',
+  TIMEOUT,
+  async (context) => {
+    const fleet = await GatewayFleet.start(context);
+    await fleet.configure([createRoute('/a/')]);
+    let isCrossed = true;
+    await fleet.addEndpoint('e1', (_, response) => {
+      const headers = isCrossed
+        ? { 'shallotrock-attempt-id': 'other', 'shallotrock-instance-seal': 's' }
+        : {};
+      response.writeHead(200, headers).end('wrong');
+    });
+    expect((await fleet.call('/a/x')).status).toEqual(502);
+    isCrossed = false;
+    expect((await fleet.call('/a/x')).status).toEqual(502);
+  },
+);
+
+test(
+  'a stream that breaks goes on at another endpoint after its last event',
+  TIMEOUT,
+  async (context) => {
+    const fleet = await GatewayFleet.start(context);
+    await fleet.configure([createRoute('/a/', stream)]);
+    const lastIds: unknown[] = [];
+    const handle = (id: string) =>
+      fleet.addEndpoint(id, (message, response) => {
+        const last = message.headers['last-event-id'];
+        lastIds.push(last);
+        if (last === undefined) {
+          sendEvents(message, response, [1, 2]);
+          response.write('id: 3\nda');
+          setTimeout(() => message.socket.destroy(), 20);
+        } else {
+          sendEvents(message, response, [3, 4]);
+          response.end();
+        }
+      });
+    await handle('e1');
+    await handle('e2');
+    const answer = await fleet.call('/a/x', TOKENS);
+    expect(answer.isWhole).toEqual(true);
+    expect(answer.body.match(/id: \d/g)).toEqual(['id: 1', 'id: 2', 'id: 3', 'id: 4']);
+    expect(lastIds).toEqual([undefined, '2']);
+  },
+);
+
+test('a stream that can not go on does not look complete', TIMEOUT, async (context) => {
+  const fleet = await GatewayFleet.start(context);
+  await fleet.configure([createRoute('/a/', { ...stream, repeatability: 'once' })]);
+  const handle = (id: string) =>
+    fleet.addEndpoint(id, (message, response) => {
+      sendEvents(message, response, [1]);
+      setTimeout(() => message.socket.destroy(), 20);
+    });
+  await handle('e1');
+  await handle('e2');
+  const answer = await fleet.call('/a/x', TOKENS);
+  expect([answer.status, answer.isWhole]).toEqual([200, false]);
+});
+
+test(
+  'a request that the balance does not cover is refused with the proof, others are served',
+  TIMEOUT,
+  async (context) => {
+    const fleet = await GatewayFleet.start(context);
+    await fleet.configure([createRoute('/a/', stream)], 400);
+    const endpoint = await fleet.addEndpoint('e1', (message, response) => {
+      sendEvents(message, response, [1]);
+      response.end();
+    });
+    const statuses: number[] = [];
+    for (let index = 0; index < 5; index += 1) {
+      // Each uses 100 tokens of input and 5 of output; the next one finds them spent.
+      statuses.push((await fleet.call('/a/x', TOKENS)).status);
+    }
+    expect(statuses).toEqual([200, 200, 200, 402, 402]);
+    expect(endpoint.calls.length).toEqual(3);
+  },
+);
+
+test(
+  'a stopping gateway is not ready, closes connections after answers and cuts none',
+  TIMEOUT,
+  async (context) => {
+    const fleet = await GatewayFleet.start(context);
+    await fleet.configure([createRoute('/a/')]);
+    const held: (() => void)[] = [];
+    await fleet.addEndpoint('e1', (message, response) => {
+      held.push(() => answerWhole(message, response, 'done'));
+    });
+    const first = fleet.call('/a/x');
+    await fleet.waitFor(() => held.length === 1);
+    const stopped = fleet.gateway.stop();
+    expect(await fleet.getReadiness()).toEqual(503);
+    const second = fleet.call('/a/x');
+    await fleet.waitFor(() => held.length === 2);
+    held.forEach((answer) => answer());
+    const answers = await Promise.all([first, second]);
+    expect(answers.map(({ status }) => status)).toEqual([200, 200]);
+    expect(answers[1]?.headers.connection).toEqual('close');
+    await stopped;
+  },
+);
--- /dev/null
+++ b/tests/support/gatewayFleet.ts
@@ -0,0 +1,345 @@
+/** A gateway on loopback sockets, with a store in memory and endpoints whose answers a test decides. */
+import { once } from 'node:events';
+import {
+  createServer,
+  request,
+  type IncomingMessage,
+  type Server,
+  type ServerResponse,
+} from 'node:http';
+import type { AddressInfo } from 'node:net';
+import type { TestContext } from 'node:test';
+import { PlatformHeaders } from '../../platform/headerCodec.js';
+import { Ok, type Result } from '../../src/core/results.js';
+import { createLogger } from '../../src/core/logging.js';
+import { createMetrics } from '../../src/core/metrics.js';
+import { SystemTimers, VirtualTimers } from '../../src/core/timers.js';
+import { getSha256 } from '../../src/core/utilities.js';
+import { Gateway } from '../../src/gateway/gateway.js';
+import { HttpPeerClient } from '../../src/peers/peerRpc.js';
+import type { EndpointEntry, GatewayConfig, Route } from '../../src/types/gateway.js';
+import { brandId, type ServiceName } from '../../src/types/ids.js';
+import {
+  KeyedStore,
+  type KeyedAppendOptions,
+  type KeyedPage,
+  type KeyedReadOptions,
+  type NewestRecords,
+  type StoreFailure,
+  type Topic,
+} from '../../src/types/store.js';
+import { FakeStoreServer } from './fakeStore.js';
+
+const SERVICE: ServiceName = brandId('engines');
+const CONFIG_TOPIC = { name: 'config', part: 0 };
+const ENDPOINT_TOPIC = { name: 'endpoints', part: 0 };
+const HOST = 'yard.example';
+
+/** The key of the workspace in `createConfig`. */
+export const CALLER_KEY = 'yard-key';
+
+/** Answers at once; a read that waits ends with the next append. */
+class MemoryStore extends KeyedStore {
+  private readonly server = new FakeStoreServer(new VirtualTimers());
+
+  private readonly wakers = new Set<() => void>();
+
+  readNewest(topic: Topic): Promise<Result<NewestRecords, StoreFailure>> {
+    return Promise.resolve(this.server.readNewest(topic));
+  }
+
+  async read(options: KeyedReadOptions): Promise<Result<KeyedPage, StoreFailure>> {
+    if (options.waitMs > 0 && this.server.getRecords(options.topic).length === options.from) {
+      await new Promise<void>((resolve) => {
+        this.wakers.add(resolve);
+      });
+    }
+    return this.server.read(options);
+  }
+
+  append(options: KeyedAppendOptions): Promise<Result<never, StoreFailure>> {
+    const result = this.server.append(options);
+    this.wake();
+    return Promise.resolve(result as Result<never, StoreFailure>);
+  }
+
+  /** Stores a record whatever the topic's end. */
+  put(topic: Topic, key: string, value: unknown): void {
+    const at = this.server.getRecords(topic).length as never;
+    this.server.append({ topic, key, value: Buffer.from(JSON.stringify(value)), at });
+    this.wake();
+  }
+
+  wake(): void {
+    this.wakers.forEach((wake) => wake());
+    this.wakers.clear();
+  }
+}
+
+/** What an endpoint of a test does with a call. */
+export type EndpointHandler = (message: IncomingMessage, response: ServerResponse) => void;
+
+/** An endpoint with the calls that it got. */
+export interface TestEndpoint {
+  readonly id: string;
+  readonly calls: IncomingMessage[];
+}
+
+/** What a caller got. */
+export interface CallerAnswer {
+  readonly status: number;
+  readonly headers: Readonly<Record<string, string | string[] | undefined>>;
+  readonly body: string;
+  /** Whether the answer came to its end. */
+  readonly isWhole: boolean;
+}
+
+/** Creates a route; what a test does not state is a plain call that may not be repeated. */
+export function createRoute(pathPrefix: string, fields: Partial<Route> = {}): Route {
+  return {
+    name: brandId(pathPrefix),
+    host: HOST,
+    pathPrefix,
+    split: [{ service: SERVICE, weight: 1 }],
+    isStream: false,
+    repeatability: 'once',
+    attempts: 1,
+    timeoutMs: 5_000,
+    targetMs: 300,
+    pauseMs: 0,
+    rank: 0,
+    isPublic: false,
+    ...fields,
+  };
+}
+
+/** One gateway and its endpoints. */
+export class GatewayFleet {
+  private readonly store = new MemoryStore();
+
+  private readonly servers: Server[] = [];
+
+  readonly gateway: Gateway;
+
+  private port = 0;
+
+  private readinessPort = 0;
+
+  private version = 0;
+
+  private constructor(private readonly ports: readonly number[]) {
+    const timers = new SystemTimers();
+    const address = (index: number) => ({ host: '127.0.0.1', port: ports[index]! });
+    const client = new HttpPeerClient({ sharedKey: 'k'.repeat(16), getAddress: () => undefined });
+    this.gateway = new Gateway({
+      deployment: {
+        vm: brandId('vm1'),
+        availabilityZone: brandId('z'),
+        callerAddress: address(0),
+        readinessAddress: address(1),
+        peerAddress: address(2),
+        seeds: [],
+        storeAddress: address(0),
+        graceMs: 4_000,
+        retryShare: 1,
+        retryReserve: 100,
+        retryWindowMs: 10_000,
+      },
+      platform: {
+        store: this.store,
+        codec: new PlatformHeaders(),
+        decodeConfig: (bytes) => Ok(JSON.parse(Buffer.from(bytes).toString()) as GatewayConfig),
+        decodeEndpoint: (_, bytes) =>
+          Ok(JSON.parse(Buffer.from(bytes).toString()) as EndpointEntry),
+        configTopic: CONFIG_TOPIC,
+        configKey: 'config',
+        endpointTopic: ENDPOINT_TOPIC,
+        accountTopic: 'accounts',
+        readinessPath: '/ready',
+      },
+      timers,
+      logger: createLogger({ level: 'error' }),
+      metrics: createMetrics(),
+      run: brandId('run1'),
+      sharedKey: 'k'.repeat(16),
+      createPeerClient: () => client,
+    });
+  }
+
+  /** Starts a gateway that ends with the test. */
+  static async start(context: TestContext): Promise<GatewayFleet> {
+    const ports = await Promise.all([findFreePort(), findFreePort(), findFreePort()]);
+    const fleet = new GatewayFleet(ports);
+    context.after(() => fleet.close());
+    fleet.port = await fleet.gateway.start();
+    [, fleet.readinessPort = 0] = ports;
+    return fleet;
+  }
+
+  /** Puts a configuration in force. */
+  async configure(
+    routes: readonly Route[],
+    prepaidTokens = 100_000,
+    key = CALLER_KEY,
+  ): Promise<void> {
+    this.version += 1;
+    const config: GatewayConfig = {
+      version: this.version,
+      routes,
+      services: [
+        {
+          name: SERVICE,
+          maxConnections: 100,
+          engine: { slots: 8, cacheTokens: 1_000, tokensPerEvent: 5 },
+        },
+      ],
+      workspaces: [
+        {
+          name: brandId('yard'),
+          keyHashes: [getSha256(key)],
+          prepaidTokens,
+          rank: undefined,
+        },
+      ],
+      limits: {
+        headerBytes: 16_384,
+        bodyBytes: 10_000,
+        headerTimeoutMs: 3_000,
+        idleTimeoutMs: 15_000,
+      },
+    };
+    this.store.put(CONFIG_TOPIC, 'config', config);
+    await this.waitFor(() => this.gateway.config.getVersion() === this.version);
+    await this.waitFor(() => this.gateway.escrow.isProven());
+  }
+
+  /** Starts an endpoint and lists it. */
+  async addEndpoint(id: string, handle: EndpointHandler): Promise<TestEndpoint> {
+    const calls: IncomingMessage[] = [];
+    const server = createServer((message, response) => {
+      calls.push(message);
+      message.resume();
+      message.on('end', () => handle(message, response));
+    });
+    this.servers.push(server);
+    server.listen(0, '127.0.0.1');
+    await once(server, 'listening');
+    const { port } = server.address() as AddressInfo;
+    const size = this.gateway.directory.getSize();
+    const entry: Omit<EndpointEntry, never> = {
+      id: brandId(id),
+      startedAtMs: 1,
+      sequence: 1,
+      service: SERVICE,
+      host: '127.0.0.1',
+      port,
+      availabilityZone: brandId('z'),
+      slots: 8,
+      state: 'ready',
+      warmupMs: 0,
+    };
+    this.store.put(ENDPOINT_TOPIC, id, entry);
+    await this.waitFor(() => this.gateway.directory.getSize() > size);
+    return { id, calls };
+  }
+
+  /** Sends a call and reads the answer to its end. */
+  call(path: string, headers: Readonly<Record<string, string>> = {}): Promise<CallerAnswer> {
+    return new Promise((resolve, reject) => {
+      const outgoing = request({
+        host: '127.0.0.1',
+        port: this.port,
+        method: 'POST',
+        path,
+        agent: false,
+        headers: {
+          host: HOST,
+          'shallotrock-attempt-id': `call-${Math.random()}`,
+          'shallotrock-credential': CALLER_KEY,
+          ...headers,
+        },
+      });
+      outgoing.on('error', reject);
+      outgoing.on('response', (answer) => {
+        const parts: Buffer[] = [];
+        const finish = () =>
+          resolve({
+            status: answer.statusCode ?? 0,
+            headers: answer.headers,
+            body: Buffer.concat(parts).toString(),
+            isWhole: answer.complete,
+          });
+        answer.on('data', (part: Buffer) => parts.push(part));
+        answer.on('end', finish);
+        answer.on('error', finish);
+      });
+      outgoing.end('body');
+    });
+  }
+
+  /** Returns the status of the readiness question. */
+  async getReadiness(): Promise<number> {
+    const response = await fetch(`http://127.0.0.1:${this.readinessPort}/ready`);
+    await response.text();
+    return response.status;
+  }
+
+  /** Waits until a condition holds; the test's own time limit ends it. */
+  async waitFor(isTrue: () => boolean): Promise<void> {
+    while (!isTrue()) {
+      // The state changes in between.
+      await new Promise((resolve) => {
+        setImmediate(resolve);
+      });
+    }
+  }
+
+  private async close(): Promise<void> {
+    this.servers.forEach((server) => {
+      server.close();
+      server.closeAllConnections();
+    });
+    const stopped = this.gateway.stop();
+    this.store.wake();
+    await stopped;
+    this.store.wake();
+  }
+}
+
+async function findFreePort(): Promise<number> {
+  const server = createServer();
+  server.listen(0, '127.0.0.1');
+  await once(server, 'listening');
+  const { port } = server.address() as AddressInfo;
+  server.close();
+  await once(server, 'close');
+  return port;
+}
+
+/** Answers as a sound endpoint does. */
+export function answerWhole(
+  message: IncomingMessage,
+  response: ServerResponse,
+  body: string,
+  status = 200,
+): void {
+  response.writeHead(status, {
+    'shallotrock-attempt-id': message.headers['shallotrock-attempt-id'],
+    'shallotrock-instance-seal': 'seal',
+  });
+  response.end(body);
+}
+
+/** Sends events of a stream as a sound endpoint does, without its end. */
+export function sendEvents(
+  message: IncomingMessage,
+  response: ServerResponse,
+  ids: readonly number[],
+): void {
+  response.writeHead(200, {
+    'content-type': 'text/event-stream',
+    'shallotrock-attempt-id': message.headers['shallotrock-attempt-id'],
+    'shallotrock-instance-seal': 'seal',
+  });
+  response.write(ids.map((id) => `id: ${id}\ndata: t${id}\n\n`).join(''));
+}
