--- a/src/gateway/peerSync.ts
+++ b/src/gateway/peerSync.ts
@@ -4,7 +4,7 @@
 import { getErrorMessage } from '../core/utilities.js';
 import type { SuspectController } from '../controllers/suspectController.js';
 import type { VmId } from '../types/ids.js';
-import type { GatewayStateAnswer, GatewayStateRequest, PeerClient } from '../types/peers.js';
+import type { GatewayStateAnswer, GatewayStateRequest, PeerClient, Suspect } from '../types/peers.js';
 import type { ConfigController } from './configController.js';
 import type { EndpointDirectory } from './endpointDirectory.js';
 
@@ -24,6 +24,7 @@
 const INTERVAL_MS = 400;
 const STORE_FAILING_MS = 200; // one lost answer is no reason to ask peers
 const CALL_TIMEOUT_MS = 350;
+const TOLD_DEATHS = 2;
 
 /** Asks peers in turn while the store is away. */
 export class PeerSync {
@@ -35,8 +36,9 @@
 
   constructor(private readonly options: PeerSyncOptions) {}
 
-  /** Starts watching the store's topics. */
+  /** Starts watching the store's topics, and telling peers which calls crash endpoints. */
   start(): void {
+    this.options.suspects.onDeath = (suspects) => this.tellSuspects(suspects);
     this.unsubscribe = this.options.timers.subscribeEvery(INTERVAL_MS, () => this.check());
   }
 
@@ -59,6 +61,22 @@
     };
   }
 
+  /** One death is often that of an innocent call; a call that was on two is refused soon, wherever it comes. */
+  private tellSuspects(suspects: readonly Suspect[]): void {
+    const repeated = suspects.filter(({ deaths }) => deaths >= TOLD_DEATHS);
+    if (repeated.length === 0) {
+      return;
+    }
+    const { getPeers, client, config, logger } = this.options;
+    const request = { configVersion: config.getVersion(), suspects: repeated };
+    logger.warn('calls crash endpoints', { suspects: repeated });
+    getPeers().forEach((peer) => {
+      client.call(peer, 'gateway.state', request, CALL_TIMEOUT_MS).catch((error: unknown) => {
+        logger.debug('peer did not answer', { peer, detail: getErrorMessage(error) });
+      });
+    });
+  }
+
   private check(): void {
     if (this.isAsking || this.options.getStoreFailingMs() < STORE_FAILING_MS) {
       return;
