--- a/src/gateway/peerSync.ts
+++ b/src/gateway/peerSync.ts
@@ -4,7 +4,12 @@
 import { getErrorMessage } from '../core/utilities.js';
 import type { SuspectController } from '../controllers/suspectController.js';
 import type { VmId } from '../types/ids.js';
-import type { GatewayStateAnswer, GatewayStateRequest, PeerClient, Suspect } from '../types/peers.js';
+import type {
+  GatewayStateAnswer,
+  GatewayStateRequest,
+  PeerClient,
+  Suspect,
+} from '../types/peers.js';
 import type { ConfigController } from './configController.js';
 import type { EndpointDirectory } from './endpointDirectory.js';
 
