--- a/launch/processes.ts
+++ b/launch/processes.ts
@@ -30,6 +30,8 @@
   const { script, args, showErrors = false } = options;
   const child = spawn(process.execPath, [getTreePath(script), ...args], {
     stdio: ['ignore', 'pipe', showErrors ? 'inherit' : 'ignore'],
+    // A Ctrl-C of the terminal reaches the launcher alone, which ends routers before what they need.
+    detached: true,
   });
   const ended = new Promise<number | undefined>((resolve) => {
     child.on('exit', (code) => resolve(code ?? undefined));
--- a/launch/start.ts
+++ b/launch/start.ts
@@ -59,22 +59,31 @@
 
 function waitForSignal(): Promise<void> {
   return new Promise((resolve) => {
-    process.once('SIGINT', resolve);
-    process.once('SIGTERM', resolve);
+    process.once('SIGINT', () => resolve());
+    process.once('SIGTERM', () => resolve());
   });
 }
 
+async function prepare(fleet: Fleet): Promise<void> {
+  await runCommand('rules', 'apply', fleet.rulesFile, '--log', fleet.logUrl);
+  await Promise.all(fleet.routerUrls.map((url) => waitUntilReady(url)));
+  await sendSamples(fleet);
+  await showBill(fleet);
+}
+
 async function run(): Promise<void> {
+  // From the start: whoever is ended before the fleet serves ends it too.
+  const signalled = waitForSignal();
   const isAuto = values.ports === 'auto' || values.once;
   const fleet = await startFleet({
     firstPort: isAuto ? 0 : FIRST_PORT,
     showErrors: values.verbose,
   });
   try {
-    await runCommand('rules', 'apply', fleet.rulesFile, '--log', fleet.logUrl);
-    await Promise.all(fleet.routerUrls.map((url) => waitUntilReady(url)));
-    await sendSamples(fleet);
-    await showBill(fleet);
+    const isReady = await Promise.race([prepare(fleet).then(() => true), signalled]);
+    if (isReady !== true) {
+      return;
+    }
     const endpoints = [...fleet.engines, ...fleet.services];
     const ready = {
       ready: true,
@@ -86,7 +95,7 @@
     };
     output.out(JSON.stringify(ready));
     if (!values.once) {
-      await waitForSignal();
+      await signalled;
     }
   } finally {
     await control(fleet.logUrl, { outage: false });
--- a/src/commands/gatewayCommand.ts
+++ b/src/commands/gatewayCommand.ts
@@ -72,6 +72,10 @@
   const timers = new SystemTimers();
   const logger = createLogger({ level, fields: { vm: deployment.vm } });
   process.on('SIGHUP', () => logger.info('settings changed', { signal: 'SIGHUP' }));
+  // What one call's events throw must not end all others; each call's state is its own.
+  process.on('uncaughtException', (error, origin) => {
+    logger.error('unexpected error', { origin, error: error.stack });
+  });
   const store = new StoreClient({ address: deployment.storeAddress, timers });
   const closers = [() => store.close()];
   const gateway = new Gateway({
--- a/src/core/settings.ts
+++ b/src/core/settings.ts
@@ -84,7 +84,11 @@
     /** Retries as a share of successes, in percent. */
     retryPercent: z.int().min(0).max(100).default(10),
   }),
-  shutdown: section({ drainMs: ms(60_000) }),
+  shutdown: section({
+    drainMs: ms(60_000),
+    /** Longest wait for the log to take what is left, after the last request; it may be gone for good. */
+    flushMs: ms(3_000),
+  }),
   tls: z.strictObject({ certFile: z.string().min(1), keyFile: z.string().min(1) }).optional(),
   logging: section({
     level: z.enum(['error', 'warn', 'info', 'debug']).default('info'),
--- a/src/router.ts
+++ b/src/router.ts
@@ -191,12 +191,12 @@
   async stop(): Promise<void> {
     const { timers, settings, logger } = this.options;
     logger.info('draining', { open: this.server.getOpenRequests() });
-    const { drainMs } = settings.shutdown;
+    const { drainMs, flushMs } = settings.shutdown;
     await timers.isDoneWithin(this.server.drain(), drainMs);
-    await timers.isDoneWithin(this.flush(), drainMs);
+    const isFlushed = await timers.isDoneWithin(this.flush(), flushMs);
     this.halt();
     await this.server.close();
-    logger.info('stopped');
+    logger.info('stopped', { isFlushed });
   }
 
   /** Stops at once, as a crash would, but leaves no timers. */
--- a/src/store/keyedFollower.ts
+++ b/src/store/keyedFollower.ts
@@ -94,7 +94,7 @@
   }
 
   private async startOver(): Promise<StoreFailure | undefined> {
-    const { store, topic, onRecord, onListed } = this.options;
+    const { store, topic, onListed } = this.options;
     const newest = await store.readNewest(topic);
     if (newest.err) {
       return newest.val;
@@ -102,14 +102,14 @@
     const { records, end } = newest.val;
     const held = records.filter(({ value }) => value !== undefined);
     onListed(new Set(held.map(({ key }) => key)), this.state.kind === 'failing');
-    held.forEach(onRecord);
+    held.forEach((record) => this.handRecord(record));
     this.offset = end;
     this.isStarted = true;
     return undefined;
   }
 
   private async readOn(from: Offset): Promise<StoreFailure | undefined> {
-    const { store, topic, onRecord, logger, waitMs = DEFAULT_WAIT_MS } = this.options;
+    const { store, topic, logger, waitMs = DEFAULT_WAIT_MS } = this.options;
     const page = await store.read({ topic, from, waitMs });
     if (page.err) {
       if (page.val.kind === 'trimmed') {
@@ -122,11 +122,23 @@
     page.val.malformed.forEach(({ offset, detail }) =>
       logger.warn('malformed record', { topic: topic.name, offset, detail }),
     );
-    page.val.records.forEach(onRecord);
+    page.val.records.forEach((record) => this.handRecord(record));
     this.offset = page.val.next;
     return undefined;
   }
 
+  /** A record that can't be handled must not stop those after it. */
+  private handRecord(record: KeyedRecord): void {
+    const { onRecord, logger, topic } = this.options;
+    try {
+      onRecord(record);
+    } catch (error) {
+      const { key, offset } = record;
+      const detail = getErrorMessage(error);
+      logger.error('record not handled', { topic: topic.name, key, offset, detail });
+    }
+  }
+
   private recordSuccess(): void {
     const { logger, topic, timers } = this.options;
     if (this.state.kind !== 'current') {
--- /dev/null
+++ b/tests/process/start.test.ts
@@ -0,0 +1,53 @@
+import { spawn } from 'node:child_process';
+import { once } from 'node:events';
+import { connect } from 'node:net';
+import { createInterface } from 'node:readline';
+import { test } from 'node:test';
+import { expect } from 'earl';
+import { getTreePath } from '../../launch/processes.js';
+
+/** Returns whether anything listens at a URL. */
+function isListening(url: string): Promise<boolean> {
+  const { hostname, port } = new URL(url);
+  return new Promise((resolve) => {
+    const socket = connect(Number(port), hostname);
+    socket.once('connect', () => {
+      socket.destroy();
+      resolve(true);
+    });
+    socket.once('error', () => resolve(false));
+  });
+}
+
+test(
+  'Ctrl-C ends the launcher and all that it started, without an error',
+  { timeout: 60_000 },
+  async () => {
+    const launcher = spawn(
+      process.execPath,
+      [getTreePath('dist/launch/start.js'), '--ports', 'auto'],
+      {
+        stdio: ['ignore', 'pipe', 'pipe'],
+        detached: true,
+      },
+    );
+    let errors = '';
+    launcher.stderr.on('data', (text: Buffer) => {
+      errors += text.toString();
+    });
+    const ended = once(launcher, 'exit');
+    let ready: { routers: string[]; endpoints: string[]; log: string; vms: string } | undefined;
+    for await (const line of createInterface({ input: launcher.stdout })) {
+      if (line.startsWith('{"ready"')) {
+        ready = JSON.parse(line);
+        break;
+      }
+    }
+    // The terminal signals the whole group.
+    process.kill(-launcher.pid!, 'SIGINT');
+    expect(await ended).toEqual([0, null]);
+    expect(errors).toEqual('');
+    const urls = [...ready!.routers, ...ready!.endpoints, ready!.log, ready!.vms];
+    expect(await Promise.all(urls.map(isListening))).toEqual(urls.map(() => false));
+  },
+);
