--- a/src/escrow/accountShard.ts
+++ b/src/escrow/accountShard.ts
@@ -7,17 +7,13 @@
 import type { TimerService, Unsubscribe } from '../core/timers.js';
 import { getErrorMessage, getOrCreate } from '../core/utilities.js';
 import type { BudgetId, Incarnation, Offset, VmId } from '../types/ids.js';
-import type { KeyedRecord, KeyedStore, Topic } from '../types/store.js';
+import type { KeyedStore, Topic } from '../types/store.js';
 import { Account, type AccountChange } from './account.js';
 import { planAllotment, type AllotmentSituation } from './allotmentPlan.js';
-import {
-  decodeHolderRecord,
-  encodeHolderRecord,
-  type HolderBalance,
-  type HolderRecord,
-} from './holderRecord.js';
+import { encodeHolderRecord, type HolderBalance, type HolderRecord } from './holderRecord.js';
 import { chooseWitnesses, type ExtensionClient } from './extensionClient.js';
-import { Ledger, type VersionedTotal } from './ledger.js';
+import type { Ledger, VersionedTotal } from './ledger.js';
+import { LedgerReader } from './ledgerReader.js';
 
 /** Options of a shard. */
 export interface AccountShardOptions {
@@ -59,12 +55,11 @@
 
 /** The accounts of one topic. */
 export class AccountShard {
-  readonly ledger = new Ledger();
+  readonly ledger: Ledger;
 
   readonly accounts = new Map<BudgetId, Account>();
 
-  /** The offset that the ledger is current to, `undefined` before the first read. */
-  private offset: Offset | undefined;
+  private readonly reader: LedgerReader;
 
   private pending: PendingRecord | undefined;
 
@@ -99,7 +94,16 @@
 
   private unsubscribe: Unsubscribe = () => {};
 
-  constructor(private readonly options: AccountShardOptions) {}
+  constructor(private readonly options: AccountShardOptions) {
+    const { store, topic, logger } = options;
+    this.reader = new LedgerReader({
+      store,
+      topic,
+      logger,
+      onRecord: (holder, record) => this.onRecord(holder, record),
+    });
+    this.ledger = this.reader.ledger;
+  }
 
   /** Starts reading and claiming. */
   start(): void {
@@ -121,7 +125,7 @@
 
   /** Returns whether all accounts were read and this process's own record is stored. */
   isProven(): boolean {
-    return this.offset !== undefined && this.sequence > 0;
+    return this.reader.getOffset() !== undefined && this.sequence > 0;
   }
 
   /** Returns whether the last call to the store failed. */
@@ -343,56 +347,19 @@
 
   /** Returns whether the ledger is current. */
   private async readToEnd(): Promise<boolean> {
-    const { store, topic } = this.options;
-    if (this.offset === undefined) {
-      return this.startOver();
-    }
-    for (;;) {
-      const page = await store.read({ topic, from: this.offset, waitMs: 0 });
-      if (page.err && page.val.kind === 'trimmed') {
-        this.offset = undefined;
-        return this.startOver();
-      }
-      if (page.err) {
-        this.recordFailure(JSON.stringify(page.val));
-        return false;
-      }
-      page.val.records.forEach((record) => this.applyRecord(record));
-      this.offset = page.val.next;
-      if (this.offset >= page.val.end) {
-        this.resolvePending(this.offset);
-        this.recordSuccess();
-        return true;
-      }
-    }
-  }
-
-  private async startOver(): Promise<boolean> {
-    const { store, topic } = this.options;
-    const newest = await store.readNewest(topic);
-    if (newest.err) {
-      this.recordFailure(JSON.stringify(newest.val));
+    const end = await this.reader.readToEnd();
+    if (end.err) {
+      this.recordFailure(JSON.stringify(end.val));
       return false;
     }
-    this.ledger.clear();
-    newest.val.records.forEach((record) => this.applyRecord(record));
-    this.offset = newest.val.end;
-    return this.readToEnd();
+    this.resolvePending(end.val);
+    this.recordSuccess();
+    return true;
   }
 
-  private applyRecord({ key, value, offset }: KeyedRecord): void {
-    const { logger, vm, run } = this.options;
-    if (value === undefined) {
-      return;
-    }
-    const decoded = decodeHolderRecord(value);
-    if (decoded.err) {
-      logger.warn('malformed account', { key, offset, detail: decoded.val });
-      return;
-    }
-    const record = decoded.val;
-    this.ledger.apply(key as VmId, record);
-    if (key !== vm) {
+  private onRecord(holder: VmId, record: HolderRecord): void {
+    const { vm, run } = this.options;
+    if (holder !== vm) {
       return;
     }
     if (record.run !== run) {
@@ -476,8 +443,7 @@
       at: pending.at,
     });
     if (appended.ok) {
-      this.ledger.apply(vm, pending.record);
-      this.offset = appended.val;
+      this.reader.applyOwn(vm, pending.record, appended.val);
       this.reported = spending;
       this.confirmPending();
       this.recordSuccess();
@@ -507,7 +473,7 @@
     });
     const witnesses = chooseWitnesses(this.ledger, vm);
     const record = { run, sequence: this.sequence + 1, address, witnesses, balances };
-    return { at: this.offset!, record, bytes: encodeHolderRecord(record), changes };
+    return { at: this.reader.getOffset()!, record, bytes: encodeHolderRecord(record), changes };
   }
 
   private planBudget(budget: BudgetId, isFinal: boolean): AccountChange {
@@ -522,7 +488,7 @@
   private recordSuccess(): void {
     if (this.failures > 0) {
       this.options.logger.info('accounts in reach', {
-        offset: this.offset,
+        offset: this.reader.getOffset(),
         failures: this.failures,
       });
     }
@@ -534,7 +500,7 @@
   private recordFailure(detail: string): void {
     const { logger, timers } = this.options;
     if (this.failures === 0) {
-      logger.warn('accounts out of reach', { detail, offset: this.offset });
+      logger.warn('accounts out of reach', { detail, offset: this.reader.getOffset() });
     }
     this.failures += 1;
     this.retryAt = timers.now() + Math.min(RETRY_MAX_MS, RETRY_MIN_MS * this.failures);
