Keep one copy of shape checks, stop signals and due checks, and drop dead code

Cause: a reading of the whole change. The allotment kept a time constant and a method that nothing used any more; so did some fields, getters and states. Calls without tokens are not hashed any more, since only calls with tokens become suspects, and a body is hashed without a copy. The product's word for a route's prefix no longer is the platform's. The list of commands has its earlier texts again. Assertions of the tests are unchanged. Ruled out: one filter class for both chains and one page of settings for both daemons (the pairs are alike in shape only).

--- a/launch/start.ts
+++ b/launch/start.ts
@@ -3,6 +3,7 @@
  * answers and the bill, then serves until Ctrl-C. `--once` ends after the audit instead.
  */
 import { parseArgs } from 'node:util';
+import { waitForStopSignal } from '../src/commands/command.js';
 import { runMain } from '../src/commands/main.js';
 import { control, sampleKeys, startFleet, waitUntilReady, type Fleet } from './fleet.js';
 
@@ -57,13 +58,6 @@
   await runCommand('audit', '--log', fleet.logUrl);
 }
 
-function waitForSignal(): Promise<void> {
-  return new Promise((resolve) => {
-    process.once('SIGINT', () => resolve());
-    process.once('SIGTERM', () => resolve());
-  });
-}
-
 async function prepare(fleet: Fleet): Promise<void> {
   await runCommand('rules', 'apply', fleet.rulesFile, '--log', fleet.logUrl);
   await Promise.all(fleet.routerUrls.map((url) => waitUntilReady(url)));
@@ -73,7 +67,7 @@
 
 async function run(): Promise<void> {
   // From the start: whoever is ended before the fleet serves ends it too.
-  const signalled = waitForSignal();
+  const signalled = waitForStopSignal();
   const isAuto = values.ports === 'auto' || values.once;
   const fleet = await startFleet({
     firstPort: isAuto ? 0 : FIRST_PORT,
--- a/src/commands/auditCommand.ts
+++ b/src/commands/auditCommand.ts
@@ -26,7 +26,6 @@
 /** The command. */
 export const auditCommand: Command = {
   name: 'audit',
-  summary: 'check the promises against the log',
   help,
   run: runAudit,
 };
--- a/src/commands/budgetsCommand.ts
+++ b/src/commands/budgetsCommand.ts
@@ -24,7 +24,6 @@
 /** The command. */
 export const budgetsCommand: Command = {
   name: 'budgets',
-  summary: 'show the budgets',
   help,
   run: runBudgets,
 };
--- a/src/commands/command.ts
+++ b/src/commands/command.ts
@@ -1,6 +1,6 @@
 /** What the commands share. */
 import { parseArgs, type ParseArgsConfig } from 'node:util';
-import { getErrorMessage } from '../core/utilities.js';
+import { createDeferred, getErrorMessage } from '../core/utilities.js';
 import { exitCodes, type ExitCode } from './exitCodes.js';
 
 /** Where a command prints to. */
@@ -14,8 +14,6 @@
 /** One command of the command line. */
 export interface Command {
   readonly name: string;
-  /** One line for the list of commands. */
-  readonly summary: string;
   /** The whole help. */
   readonly help: string;
   readonly run: (args: readonly string[], output: Output) => Promise<ExitCode>;
@@ -52,6 +50,15 @@
   return value;
 }
 
+/** Resolves with the first signal that asks a daemon to stop. */
+export function waitForStopSignal(): Promise<void> {
+  const signalled = createDeferred<void>();
+  (['SIGTERM', 'SIGINT'] as const).forEach((signal) => {
+    process.once(signal, () => signalled.resolve());
+  });
+  return signalled.promise;
+}
+
 /** Prints that the log could not be read. */
 export function reportUnavailable(output: Output, detail: string): ExitCode {
   output.error(`error 8001: ${detail}`);
--- a/src/commands/configCommand.ts
+++ b/src/commands/configCommand.ts
@@ -15,7 +15,6 @@
 /** The command. */
 export const configCommand: Command = {
   name: 'config',
-  summary: 'check a settings file',
   help,
   run: runConfig,
 };
--- a/src/commands/gatewayCommand.ts
+++ b/src/commands/gatewayCommand.ts
@@ -9,12 +9,11 @@
 import { createLogger } from '../core/logging.js';
 import { createMetrics } from '../core/metrics.js';
 import { SystemTimers } from '../core/timers.js';
-import { createDeferred } from '../core/utilities.js';
 import { Gateway } from '../gateway/gateway.js';
 import { HttpPeerClient } from '../peers/peerRpc.js';
 import type { DeploymentSettings } from '../types/gateway.js';
 import { brandId, type Incarnation } from '../types/ids.js';
-import { parseCommandArgs, type Command, type Output } from './command.js';
+import { parseCommandArgs, waitForStopSignal, type Command, type Output } from './command.js';
 import { exitCodes, type ExitCode } from './exitCodes.js';
 
 const help = `Usage: shallotrock gateway [--settings FILE] [--log-level LEVEL]
@@ -29,7 +28,6 @@
 /** The command. */
 export const gatewayCommand: Command = {
   name: 'gateway',
-  summary: 'run a gateway on the platform',
   help,
   run: runGateway,
 };
@@ -55,7 +53,7 @@
   const level = values['log-level'] as string | undefined;
   const { gateway, closeClients } = createGateway(deployment.val, level);
   await gateway.start();
-  await waitForSignal();
+  await waitForStopSignal();
   await gateway.stop();
   await closeClients();
   return exitCodes.ok;
@@ -113,11 +111,3 @@
   const clock = process.hrtime.bigint().toString(36);
   return brandId(`${vm}-${clock}-${randomBytes(4).toString('hex')}`);
 }
-
-function waitForSignal(): Promise<void> {
-  const signalled = createDeferred<void>();
-  (['SIGTERM', 'SIGINT'] as const).forEach((signal) => {
-    process.once(signal, () => signalled.resolve());
-  });
-  return signalled.promise;
-}
--- a/src/commands/main.ts
+++ b/src/commands/main.ts
@@ -7,6 +7,7 @@
 /** A command by name, loaded when it is used: a gateway starts in less time without the parts of the others. */
 interface CommandEntry {
   readonly name: string;
+  /** One line for the list of commands. */
   readonly summary: string;
   readonly load: () => Promise<Command>;
 }
@@ -24,12 +25,12 @@
   },
   {
     name: 'rules',
-    summary: 'check, compare, apply and show the rules',
+    summary: 'check, show, compare and publish the rules',
     load: async () => (await import('./rulesCommand.js')).rulesCommand,
   },
   {
     name: 'budgets',
-    summary: 'show what is funded, granted and spent',
+    summary: 'show the budgets',
     load: async () => (await import('./budgetsCommand.js')).budgetsCommand,
   },
   {
--- a/src/commands/routerCommand.ts
+++ b/src/commands/routerCommand.ts
@@ -3,13 +3,18 @@
 import { createMetrics } from '../core/metrics.js';
 import { formatSettingsProblem, readSettings, type Settings } from '../core/settings.js';
 import { SystemTimers } from '../core/timers.js';
-import { createDeferred } from '../core/utilities.js';
 import { HttpPeerClient } from '../peers/peerRpc.js';
 import { HttpEndpointClient } from '../transports/httpEndpointClient.js';
 import { HttpLog } from '../transports/httpLog.js';
 import { HttpVmList } from '../transports/httpVmList.js';
 import { Router } from '../router.js';
-import { getRequired, parseCommandArgs, type Command, type Output } from './command.js';
+import {
+  getRequired,
+  parseCommandArgs,
+  waitForStopSignal,
+  type Command,
+  type Output,
+} from './command.js';
 import { exitCodes, type ExitCode } from './exitCodes.js';
 
 const help = `Usage: shallotrock router --config FILE
@@ -23,7 +28,6 @@
 /** The command. */
 export const routerCommand: Command = {
   name: 'router',
-  summary: 'run a router',
   help,
   run: runRouter,
 };
@@ -38,7 +42,7 @@
   const { router, closeClients } = createRouter(settings.val);
   const port = await router.start();
   output.out(JSON.stringify({ listening: port }));
-  await waitForSignal();
+  await waitForStopSignal();
   await router.stop();
   await closeClients();
   return exitCodes.ok;
@@ -79,11 +83,3 @@
   };
   return { router, closeClients };
 }
-
-function waitForSignal(): Promise<void> {
-  const signalled = createDeferred<void>();
-  (['SIGTERM', 'SIGINT'] as const).forEach((signal) => {
-    process.once(signal, () => signalled.resolve());
-  });
-  return signalled.promise;
-}
--- a/src/commands/rulesCommand.ts
+++ b/src/commands/rulesCommand.ts
@@ -42,7 +42,6 @@
 /** The command. */
 export const rulesCommand: Command = {
   name: 'rules',
-  summary: 'check, show, compare and publish the rules',
   help,
   run: runRules,
 };
--- a/src/controllers/budgetAllotment.ts
+++ b/src/controllers/budgetAllotment.ts
@@ -19,8 +19,9 @@
 
 /** How many of the largest recent holds the allotment keeps in reserve. */
 const RESERVED_HOLDS = 2;
-/** Default time constant of the rate that follows a surge, in milliseconds. */
+/** Time constant of the rate that follows a surge, in milliseconds. */
 const RECENT_MS = 30_000;
+/** The weight of the latest hold in the mean of holds. */
 const MEAN_SMOOTHING = 0.1;
 /** How long a need that went unmet is refused at once, in milliseconds. */
 const STARVED_MS = 1_000;
@@ -47,7 +48,7 @@
   readonly waiters: HoldWaiter[] = [];
 
   /** What is spent now, and what was spent over the horizon: the first rises fast, the second stays. */
-  private readonly recentRate: SpendRate;
+  private readonly recentRate = new SpendRate(RECENT_MS);
 
   private readonly horizonRate: SpendRate;
 
@@ -70,17 +71,12 @@
 
   private starvedUntil = 0;
 
-  /**
-   * `horizonMs` is how much spending the allotment covers, `recentMs` the time constant of the rate that
-   * follows a surge, both in milliseconds.
-   */
+  /** `horizonMs` is how much spending the allotment covers, in milliseconds. */
   constructor(
     readonly budget: BudgetId,
     private readonly horizonMs: number,
-    recentMs = RECENT_MS,
   ) {
-    this.recentRate = new SpendRate(recentMs);
-    this.horizonRate = new SpendRate(Math.max(horizonMs, recentMs));
+    this.horizonRate = new SpendRate(Math.max(horizonMs, RECENT_MS));
   }
 
   /** Takes a hold where the free tokens cover it and nobody waits before it. */
@@ -119,18 +115,14 @@
     return taken;
   }
 
-  /** Returns the free tokens that the horizon calls for, with room for large requests. */
+  /** Returns the free tokens that the horizon calls for. */
   getTarget(nowMs: number): number {
-    return Math.ceil(this.getExpectedSpending(nowMs) + RESERVED_HOLDS * this.largestHold);
-  }
-
-  /** Returns what will be spent within the horizon if spending goes on as it did. */
-  getExpectedSpending(nowMs: number): number {
     const tokensPerSecond = Math.max(
       this.recentRate.getTokensPerSecond(nowMs),
       this.horizonRate.getTokensPerSecond(nowMs),
     );
-    return (tokensPerSecond * this.horizonMs) / 1_000;
+    const spending = (tokensPerSecond * this.horizonMs) / 1_000;
+    return Math.ceil(spending + RESERVED_HOLDS * this.largestHold);
   }
 
   /** Notes a need that went unmet; the like is refused at once for a while. */
--- a/src/core/utilities.ts
+++ b/src/core/utilities.ts
@@ -26,9 +26,11 @@
   return created;
 }
 
-/** Returns the SHA-256 of a text or of bytes, in hexadecimal. */
-export function getSha256(data: string | Uint8Array): string {
-  return createHash('sha256').update(data).digest('hex');
+/** Returns the SHA-256 of texts and bytes, one after another, in hexadecimal. */
+export function getSha256(...parts: readonly (string | Uint8Array)[]): string {
+  const hash = createHash('sha256');
+  parts.forEach((part) => hash.update(part));
+  return hash.digest('hex');
 }
 
 /** Returns a 32-bit hash that is cheap and spreads well enough for placement (FNV-1a with a final mix). */
--- a/src/escrow/accountShard.ts
+++ b/src/escrow/accountShard.ts
@@ -57,7 +57,7 @@
 export class AccountShard {
   readonly ledger: Ledger;
 
-  readonly accounts = new Map<BudgetId, Account>();
+  private readonly accounts = new Map<BudgetId, Account>();
 
   private readonly reader: LedgerReader;
 
@@ -146,7 +146,7 @@
 
   /** Returns the account of a budget. */
   getAccount(budget: BudgetId): Account {
-    return getOrCreate(this.accounts, budget, () => this.createAccount(budget));
+    return getOrCreate(this.accounts, budget, () => new Account(budget, this.options.horizonMs));
   }
 
   /** Returns what the log proves to be spent, with what this process has spent since. */
@@ -222,26 +222,27 @@
     }
   }
 
-  private createAccount(budget: BudgetId): Account {
-    return new Account(budget, this.options.horizonMs);
-  }
-
   private check(): void {
     const { timers } = this.options;
     const now = timers.now();
     if (now < this.retryAt || this.isSyncing) {
       return;
     }
-    const isDue =
+    const isReadDue = now - this.syncedAt >= READ_INTERVAL_MS;
+    if (isReadDue || this.isRecordDue() || this.hasScarceBudget()) {
+      this.requestSync();
+    }
+  }
+
+  /** Returns whether this process's record is to be stored, by what was last read. */
+  private isRecordDue(): boolean {
+    return (
       !this.isProven() ||
       this.pending !== undefined ||
       this.hasChanges() ||
       this.hasOtherWitnesses() ||
-      this.isReportDue(now);
-    const isReadDue = now - this.syncedAt >= READ_INTERVAL_MS;
-    if (isDue || isReadDue || this.hasScarceBudget()) {
-      this.requestSync();
-    }
+      this.isReportDue()
+    );
   }
 
   /** Returns whether any allotment is to be changed, by what was last read. */
@@ -276,10 +277,9 @@
     );
   }
 
-  private isReportDue(nowMs: number): boolean {
-    return (
-      nowMs - this.reportedAt >= REPORT_INTERVAL_MS && this.describeSpending() !== this.reported
-    );
+  private isReportDue(): boolean {
+    const elapsedMs = this.options.timers.now() - this.reportedAt;
+    return elapsedMs >= REPORT_INTERVAL_MS && this.describeSpending() !== this.reported;
   }
 
   private describeSpending(): string {
@@ -322,10 +322,7 @@
       let isDone = false;
       for (let conflicts = 0; !isDone && conflicts < CONFLICTS_MAX; conflicts += 1) {
         // Each round reads what the one before collided with.
-        isDone =
-          !(await this.readToEnd()) ||
-          !(await this.settleForerunner()) ||
-          (await this.appendIfNeeded(isFinal)) !== 'conflict';
+        isDone = !(await this.readToEnd()) || (await this.appendIfNeeded(isFinal)) !== 'conflict';
         if (!isDone) {
           await this.backOff(conflicts);
         }
@@ -345,7 +342,7 @@
     return timers.sleep(CONFLICT_BACKOFF_MS * random() * (1 + conflicts));
   }
 
-  /** Returns whether the ledger is current. */
+  /** Returns whether the ledger is current, and what an earlier process left is taken over. */
   private async readToEnd(): Promise<boolean> {
     const end = await this.reader.readToEnd();
     if (end.err) {
@@ -354,6 +351,7 @@
     }
     this.resolvePending(end.val);
     this.recordSuccess();
+    await this.settleForerunner();
     return true;
   }
 
@@ -373,10 +371,10 @@
    * Takes over what an earlier process of this vm left. What it had opened counts as spent, and all that it had
    * claimed where it may have opened that; nobody else can know that it is dead.
    */
-  private async settleForerunner(): Promise<boolean> {
+  private async settleForerunner(): Promise<void> {
     const { forerunner } = this;
     if (!forerunner) {
-      return true;
+      return;
     }
     const isUnextended = await this.options.extensions.isUnextended(forerunner);
     forerunner.balances.forEach(({ claimed, opened, settled }, budget) => {
@@ -388,7 +386,6 @@
       ([budget, { claimed, opened, settled }]) => `${budget} ${claimed} ${opened} ${settled}`,
     );
     this.options.logger.info('account inherited', { run, sequence, isUnextended, balances });
-    return true;
   }
 
   /** A record whose condition can no longer hold never was stored and never will be. */
@@ -420,13 +417,7 @@
   }
 
   private appendIfNeeded(isFinal: boolean): Promise<'done' | 'conflict'> {
-    const isNeeded =
-      isFinal ||
-      this.pending !== undefined ||
-      !this.isProven() ||
-      this.hasChanges() ||
-      this.hasOtherWitnesses() ||
-      this.isReportDue(this.options.timers.now());
+    const isNeeded = isFinal || this.isRecordDue();
     return isNeeded ? this.appendRecord(isFinal) : Promise.resolve('done');
   }
 
--- a/src/escrow/escrowController.ts
+++ b/src/escrow/escrowController.ts
@@ -61,11 +61,6 @@
     return this.options.shards.every((shard) => shard.isProven());
   }
 
-  /** Returns whether the budget is limited at all. */
-  isLimited(budget: BudgetId): boolean {
-    return this.getShard(budget).getTotal(budget) !== undefined;
-  }
-
   /** Tells the shards that totals may have changed. */
   onTotalsChanged(): void {
     this.options.shards.forEach((shard) => shard.requestSync());
--- a/src/escrow/holderRecord.ts
+++ b/src/escrow/holderRecord.ts
@@ -4,8 +4,8 @@
  */
 import { decode, encode } from '@msgpack/msgpack';
 import { z } from 'zod';
-import { Err, Ok, type Result } from '../core/results.js';
-import { getErrorMessage } from '../core/utilities.js';
+import type { Result } from '../core/results.js';
+import { checkShape } from '../core/shapes.js';
 import type { BudgetId, Incarnation, VmId } from '../types/ids.js';
 
 /** What one holder says of one budget. Amounts are in tokens and count from the vm's first process on. */
@@ -73,26 +73,21 @@
 
 /** Decodes a record; an error says what is malformed. */
 export function decodeHolderRecord(bytes: Uint8Array): Result<HolderRecord, string> {
-  try {
-    const parsed = recordSchema.safeParse(decode(bytes));
-    if (!parsed.success) {
-      return Err(
-        parsed.error.issues.map(({ path, message }) => `${path.join('.')}: ${message}`)[0]!,
-      );
-    }
-    const [, run, sequence, address, pairs, rows] = parsed.data;
-    const witnesses = pairs.map(([vm, witnessRun]) => ({
-      vm: vm as VmId,
-      run: witnessRun as Incarnation,
-    }));
-    const balances = new Map(
-      rows.map(([budget, claimed, opened, settled, lost, wanted, total, totalVersion]) => [
-        budget as BudgetId,
-        { claimed, opened, settled, lost, wanted, total, totalVersion },
-      ]),
-    );
-    return Ok({ run: run as Incarnation, sequence, address, witnesses, balances });
-  } catch (error) {
-    return Err(getErrorMessage(error));
-  }
+  return checkShape(recordSchema, () => decode(bytes)).map(
+    ([, run, sequence, address, pairs, rows]) => ({
+      run: run as Incarnation,
+      sequence,
+      address,
+      witnesses: pairs.map(([vm, witnessRun]) => ({
+        vm: vm as VmId,
+        run: witnessRun as Incarnation,
+      })),
+      balances: new Map(
+        rows.map(([budget, claimed, opened, settled, lost, wanted, total, totalVersion]) => [
+          budget as BudgetId,
+          { claimed, opened, settled, lost, wanted, total, totalVersion },
+        ]),
+      ),
+    }),
+  );
 }
--- a/src/filters/identify.ts
+++ b/src/filters/identify.ts
@@ -49,7 +49,7 @@
     }
     exchange.id = brandId(given ?? randomUUID());
     exchange.hasCallerId = given !== undefined;
-    exchange.digest = getSha256(Buffer.concat([Buffer.from(`${method} ${path}${query}\n`), body]));
+    exchange.digest = getSha256(`${method} ${path}${query}\n`, body);
     exchange.deadline = exchange.arrivedAt + waitMs;
     return next();
   }
--- a/src/gateway/call.ts
+++ b/src/gateway/call.ts
@@ -23,7 +23,7 @@
   /** When the final answer is due. Set by `matchRoute`. */
   deadline = Number.POSITIVE_INFINITY;
 
-  /** Identifies path, caller and body. Set by `rejectSuspect`. */
+  /** Identifies path, caller and body. Set by `rejectSuspect` where the call declares tokens. */
   digest = '';
 
   /** Set by `holdTokens` where the workspace's tokens are limited. */
--- a/src/gateway/endpointDirectory.ts
+++ b/src/gateway/endpointDirectory.ts
@@ -22,7 +22,7 @@
   /** Whether the endpoint was not listed when the list was last read as a whole. */
   isMissing = false;
 
-  /** Until when the endpoint takes no call of this process, after it refused one for lack of room. */
+  /** Until when the endpoint gets no call of this process, after it refused one or could not be reached. */
   fullUntil = 0;
 
   constructor(public entry: EndpointEntry) {
@@ -31,7 +31,7 @@
 
   /** Returns whether a call may start there. */
   isUsable(nowMs: number): boolean {
-    return !this.isLeaving && this.breaker.isAvailable(nowMs);
+    return !this.isLeaving && this.fullUntil <= nowMs && this.breaker.isAvailable(nowMs);
   }
 }
 
--- a/src/gateway/filters/forwardCall.ts
+++ b/src/gateway/filters/forwardCall.ts
@@ -13,7 +13,12 @@
 import { EndpointAgent } from '../forward/endpointAgent.js';
 import { EndpointTry, type TryResult } from '../forward/endpointTry.js';
 import { RetryAllowance } from '../forward/retryAllowance.js';
-import { isNotRunFailure, mayTryAgain, type TryFailure } from '../forward/retryDecision.js';
+import {
+  isNotRunFailure,
+  mayBreakOff,
+  mayTryAgain,
+  type TryFailure,
+} from '../forward/retryDecision.js';
 import { StreamRelay } from '../forward/answerRelay.js';
 import { choosePlacement } from '../placement.js';
 
@@ -103,7 +108,7 @@
         onFirstEvent: () => {
           const elapsedMs = options.timers.now() - call.arrivedAt;
           call.firstEventAfterMs ??= Math.round(elapsedMs);
-          this.current?.recordFirstEvent();
+          this.current?.recordRead();
         },
       });
     }
@@ -170,7 +175,7 @@
     const usable = directory
       .getEndpoints(service)
       .filter((endpoint) => !this.tried.has(endpoint) && !endpoint.isLeaving);
-    const open = usable.filter((endpoint) => endpoint.isUsable(now) && endpoint.fullUntil <= now);
+    const open = usable.filter((endpoint) => endpoint.isUsable(now));
     const candidates = open.length > 0 ? open : usable;
     const index = choosePlacement(
       candidates.map(({ entry, inFlight, unreadTokens }) => ({
@@ -180,11 +185,7 @@
         inFlight,
         unreadTokens,
       })),
-      {
-        promptTokens: facts.tokens?.prompt ?? 0,
-        promptParts: facts.promptParts,
-        availabilityZone,
-      },
+      { promptParts: facts.promptParts, availabilityZone },
       random,
     );
     return candidates[index];
@@ -215,10 +216,8 @@
     });
   }
 
-  /** A call that may not be repeated goes on: it counts as run, and breaking it off helps nobody. */
   private onLeave(): void {
-    const { route } = this.call;
-    if (route.isStream || route.repeatability !== 'once') {
+    if (mayBreakOff(this.call.route)) {
       this.current?.stop();
     }
   }
--- a/src/gateway/filters/rejectSuspect.ts
+++ b/src/gateway/filters/rejectSuspect.ts
@@ -18,9 +18,12 @@
     call: GatewayCall,
     next: () => Promise<FilterResult>,
   ): Promise<FilterResult> {
-    const { method, target, body, workspace } = call;
-    const head = Buffer.from(`${method} ${target}\n${workspace?.name ?? ''}\n`);
-    call.digest = getSha256(Buffer.concat([head, body]));
+    const { method, target, body, workspace, facts } = call;
+    // Only calls to model engines become suspects, so that others need no digest.
+    if (!facts.tokens) {
+      return next();
+    }
+    call.digest = getSha256(`${method} ${target}\n${workspace?.name ?? ''}\n`, body);
     if (this.suspects.isPoison(call.digest)) {
       return Err(createRefusal('poisonRequest', { ran: 'not_run' }));
     }
--- a/src/gateway/forward/endpointTry.ts
+++ b/src/gateway/forward/endpointTry.ts
@@ -7,7 +7,7 @@
 import type { EndpointDirectory, KnownEndpoint } from '../endpointDirectory.js';
 import { readWholeAnswer, type IncomingAnswer, type StreamRelay } from './answerRelay.js';
 import { EndpointCall } from './endpointCall.js';
-import type { TryFailure } from './retryDecision.js';
+import { mayBreakOff, type TryFailure } from './retryDecision.js';
 
 /** How a try ended. */
 export type TryResult =
@@ -83,20 +83,15 @@
    * be repeated; then only the wait ends.
    */
   stop(): void {
-    const { route } = this.options.call;
     this.isStopped = true;
-    if (route.isStream || route.repeatability !== 'once') {
+    if (mayBreakOff(this.options.call.route)) {
       this.sent.abort();
     }
     this.resolveStopped();
   }
 
-  /** Notes that the endpoint has read the prompt. */
-  recordFirstEvent(): void {
-    this.recordRead();
-  }
-
-  private recordRead(): void {
+  /** Notes that the endpoint has read the prompt, or has ended its work on it. */
+  recordRead(): void {
     if (!this.isRead) {
       this.isRead = true;
       this.options.endpoint.unreadTokens -= this.unreadTokens;
--- a/src/gateway/forward/retryDecision.ts
+++ b/src/gateway/forward/retryDecision.ts
@@ -2,7 +2,7 @@
  * Decides whether a call goes to another endpoint. It answers endpoints that refuse, break and hang under load: a
  * second try must never run a call twice that may run once, nor multiply an overload.
  */
-import type { Repeatability } from '../../types/gateway.js';
+import type { Repeatability, Route } from '../../types/gateway.js';
 
 /** How a try on one endpoint ended without an answer for the caller. */
 export type TryFailure =
@@ -36,6 +36,14 @@
 /** A try with less time than this is not worth its load. */
 const TIME_LEFT_MIN_MS = 30;
 
+/**
+ * Returns whether an endpoint's work on a call may be broken off when nobody waits for it any more. A plain call that
+ * may not be repeated goes on: it counts as run, and breaking it off helps nobody.
+ */
+export function mayBreakOff({ isStream, repeatability }: Route): boolean {
+  return isStream || repeatability !== 'once';
+}
+
 /** Returns whether a failure proves that the call did not run. */
 export function isNotRunFailure(failure: TryFailure): boolean {
   return failure === 'unreachable' || failure === 'refused' || failure === 'wrongEndpoint';
--- a/src/gateway/gateway.ts
+++ b/src/gateway/gateway.ts
@@ -72,6 +72,7 @@
 const OUTAGE_GRACE_MS = 2_000; // entries that lapsed with the store are back within this time
 const STOP_CLOSING_MS = 2_600; // after two missed questions; a longer call that comes later could not end in the grace
 const STOP_MARGIN_MS = 500;
+const TRANSFER_TIMEOUT_MS = 100; // a caller waits 250 ms for tokens, and the next peer may have some
 
 /** One gateway process. */
 export class Gateway {
@@ -87,6 +88,8 @@
 
   private readonly shards: readonly AccountShard[];
 
+  private readonly transfers: TransferController;
+
   private readonly configFollower: KeyedFollower;
 
   private readonly endpointFollower: KeyedFollower;
@@ -115,6 +118,7 @@
       onChange: (config) => this.onConfig(config),
     });
     this.shards = this.createShards();
+    this.transfers = this.createTransfers();
     this.escrow = this.createEscrow();
     this.configFollower = this.createConfigFollower();
     this.endpointFollower = this.createEndpointFollower();
@@ -191,27 +195,27 @@
     );
   }
 
-  private createEscrow(): EscrowController {
-    const { timers, logger } = this.options;
-    const transfers = new TransferController({
+  private createTransfers(): TransferController {
+    return new TransferController({
       client: this.peerClient,
       getPeers: (budget) => this.getLenders(budget),
       lendTokens: (budget, need, want) => this.escrow.lendTokens(budget, need, want),
       receiveTokens: () => {},
-      timeoutMs: 100,
+      timeoutMs: TRANSFER_TIMEOUT_MS,
     });
-    this.transfers = transfers;
+  }
+
+  private createEscrow(): EscrowController {
+    const { timers, logger } = this.options;
     return new EscrowController({
       timers,
       logger,
       shards: this.shards,
       requestFromPeers: async (budget, need, want) =>
-        (await transfers.requestTokens(budget, need, want)).tokens,
+        (await this.transfers.requestTokens(budget, need, want)).tokens,
     });
   }
 
-  private transfers!: TransferController;
-
   private createConfigFollower(): KeyedFollower {
     const { platform, timers, logger } = this.options;
     return new KeyedFollower({
--- a/src/gateway/placement.ts
+++ b/src/gateway/placement.ts
@@ -19,7 +19,6 @@
 
 /** The call to place. */
 export interface PlacementCall {
-  readonly promptTokens: number;
   readonly promptParts: readonly PromptPart[];
   readonly availabilityZone: string;
 }
--- a/src/gateway/routeTable.ts
+++ b/src/gateway/routeTable.ts
@@ -9,7 +9,7 @@
   constructor(routes: readonly Route[]) {
     routes.forEach((route) => {
       const prefixes = this.byHost.get(route.host) ?? new Map<string, Route>();
-      prefixes.set(route.pathPrefix, route);
+      prefixes.set(route.prefix, route);
       this.byHost.set(route.host, prefixes);
     });
   }
--- a/src/store/keyedFollower.ts
+++ b/src/store/keyedFollower.ts
@@ -26,9 +26,9 @@
 }
 
 /** Where a follower stands. */
-export type FollowerState =
+type FollowerState =
   | { readonly kind: 'starting' }
-  | { readonly kind: 'current'; readonly checkedAt: number }
+  | { readonly kind: 'current' }
   | { readonly kind: 'failing'; readonly since: number };
 
 const DEFAULT_WAIT_MS = 1_500; // a read on a silent connection must end within the time that changes may take
@@ -47,8 +47,6 @@
 
   private failures = 0;
 
-  private isStarted = false;
-
   constructor(private readonly options: KeyedFollowerOptions) {}
 
   /** Starts reading. */
@@ -64,16 +62,6 @@
     this.stopping.abort();
   }
 
-  /** Returns whether the topic was read to its end once. */
-  hasStarted(): boolean {
-    return this.isStarted;
-  }
-
-  /** Returns where the follower stands. */
-  getState(): FollowerState {
-    return this.state;
-  }
-
   /** Returns how long reads have been failing, in milliseconds; 0 where the last one succeeded. */
   getFailingMs(): number {
     return this.state.kind === 'failing' ? this.options.timers.now() - this.state.since : 0;
@@ -104,7 +92,6 @@
     onListed(new Set(held.map(({ key }) => key)), this.state.kind === 'failing');
     held.forEach((record) => this.handRecord(record));
     this.offset = end;
-    this.isStarted = true;
     return undefined;
   }
 
@@ -140,13 +127,13 @@
   }
 
   private recordSuccess(): void {
-    const { logger, topic, timers } = this.options;
+    const { logger, topic } = this.options;
     if (this.state.kind !== 'current') {
       const failingMs = Math.round(this.getFailingMs());
       logger.info('store topic in reach', { topic: topic.name, failingMs, offset: this.offset });
     }
     this.failures = 0;
-    this.state = { kind: 'current', checkedAt: timers.now() };
+    this.state = { kind: 'current' };
   }
 
   private recordFailure(failure: StoreFailure): void {
--- a/src/types/gateway.ts
+++ b/src/types/gateway.ts
@@ -18,7 +18,7 @@
   readonly name: RouteName;
   readonly host: string;
   /** Begins and ends with a slash. */
-  readonly pathPrefix: string;
+  readonly prefix: string;
   readonly split: readonly WeightedService[];
   readonly isStream: boolean;
   readonly repeatability: Repeatability;
@@ -155,8 +155,6 @@
   readonly isCrossed: boolean;
   /** Whether the endpoint signed the answer as its own, in the encoding that was asked for. */
   readonly isGenuine: boolean;
-  /** Whether the endpoint closes the connection after this answer. */
-  readonly isClosing: boolean;
   /** Headers to pass back, as name and value in turn. */
   readonly passedHeaders: readonly string[];
 }
--- a/tests/gateway/decisions.test.ts
+++ b/tests/gateway/decisions.test.ts
@@ -20,11 +20,11 @@
 
 const logger = createLogger({ level: 'error' });
 
-function createRoute(pathPrefix: string, host = 'h'): Route {
+function createRoute(prefix: string, host = 'h'): Route {
   return {
-    name: brandId(pathPrefix),
+    name: brandId(prefix),
     host,
-    pathPrefix,
+    prefix,
     split: [
       { service: brandId('a'), weight: 90 },
       { service: brandId('b'), weight: 10 },
@@ -42,9 +42,9 @@
 
 test('the longest prefix of the host wins', () => {
   const table = new RouteTable(['/', '/a/', '/a/b/'].map((prefix) => createRoute(prefix)));
-  expect(table.find('h', '/a/b/c')?.pathPrefix).toEqual('/a/b/');
-  expect(table.find('h', '/a/b')?.pathPrefix).toEqual('/a/');
-  expect(table.find('h', '/x')?.pathPrefix).toEqual('/');
+  expect(table.find('h', '/a/b/c')?.prefix).toEqual('/a/b/');
+  expect(table.find('h', '/a/b')?.prefix).toEqual('/a/');
+  expect(table.find('h', '/x')?.prefix).toEqual('/');
   expect(table.find('other', '/a/')).toEqual(undefined);
   expect(new RouteTable([createRoute('/a/')]).find('h', '/b/')).toEqual(undefined);
 });
@@ -146,7 +146,7 @@
 ];
 
 test('prompts of one subject stay together until the endpoint has more to read than they share', () => {
-  const call = { promptTokens: 6_400, promptParts, availabilityZone: 'a' };
+  const call = { promptParts, availabilityZone: 'a' };
   const idle = createCandidates([0, 0, 0, 0, 0]);
   const home = choosePlacement(idle, call, () => 0);
   const busy = idle.map((candidate, index) =>
@@ -165,7 +165,7 @@
 });
 
 test('plain calls go to the least busy endpoint, in the same zone where that is even', () => {
-  const call = { promptTokens: 0, promptParts: [], availabilityZone: 'b' };
+  const call = { promptParts: [], availabilityZone: 'b' };
   const candidates = createCandidates([0, 0, 0]);
   expect(choosePlacement(candidates, call, () => 0)).toEqual(1);
   const busy = candidates.map((candidate, index) =>
--- a/tests/gateway/endpointCall.test.ts
+++ b/tests/gateway/endpointCall.test.ts
@@ -30,8 +30,7 @@
   return agent;
 }
 
-function call(server: Server, agent: EndpointAgent): EndpointCall {
-  const { port } = server.address() as AddressInfo;
+function callPort(port: number, agent: EndpointAgent): EndpointCall {
   return new EndpointCall({
     agent,
     timers: new SystemTimers(),
@@ -43,6 +42,14 @@
   });
 }
 
+function getPort(server: Server): number {
+  return (server.address() as AddressInfo).port;
+}
+
+function call(server: Server, agent: EndpointAgent): EndpointCall {
+  return callPort(getPort(server), agent);
+}
+
 async function readAnswer(sent: EndpointCall): Promise<string | undefined> {
   const result = await sent.sent;
   if (result.kind !== 'answered') {
@@ -110,17 +117,8 @@
   const agent = createAgent(context);
   const kindOf = async (sent: Promise<SendResult>) => (await sent).kind;
   expect(await kindOf(call(server, agent).sent)).toEqual('broken');
-  const { port } = server.address() as AddressInfo;
+  const port = getPort(server);
   server.close();
   await once(server, 'close');
-  const refused = new EndpointCall({
-    agent,
-    timers: new SystemTimers(),
-    address: { host: '127.0.0.1', port },
-    method: 'GET',
-    target: '/',
-    headers: ['Host', 'x'],
-    body: Buffer.alloc(0),
-  });
-  expect(await kindOf(refused.sent)).toEqual('unreachable');
+  expect(await kindOf(callPort(port, agent).sent)).toEqual('unreachable');
 });
--- a/tests/properties/escrowModel.ts
+++ b/tests/properties/escrowModel.ts
@@ -3,7 +3,7 @@
 import { createLogger } from '../../src/core/logging.js';
 import { VirtualTimers } from '../../src/core/timers.js';
 import { AccountShard } from '../../src/escrow/accountShard.js';
-import { EscrowController, type TokenHold } from '../../src/escrow/escrowController.js';
+import { EscrowController } from '../../src/escrow/escrowController.js';
 import { ExtensionClient } from '../../src/escrow/extensionClient.js';
 import { ExtensionWitness } from '../../src/escrow/extensionWitness.js';
 import { TransferController } from '../../src/controllers/transferController.js';
@@ -48,7 +48,6 @@
   readonly escrow: EscrowController;
   readonly extensions: ExtensionClient;
   readonly store: FakeStore;
-  readonly holds: Set<TokenHold>;
 }
 
 const VMS = 4;
@@ -206,7 +205,7 @@
         'escrow.extended': (query) => witness.answer(query),
       },
     });
-    const run: EscrowRun = { process, shard, escrow, extensions, store, holds: new Set() };
+    const run: EscrowRun = { process, shard, escrow, extensions, store };
     this.mutate(run);
     this.runs[vm] = run;
     escrow.start();
@@ -227,7 +226,6 @@
         const { hold } = result;
         // Whatever becomes of the process, the endpoint may deliver all of it.
         this.consumed += tokens;
-        run.holds.add(hold);
         run.process.subscribe(runMs, () => hold.settle(tokens));
       })
       .catch((error: unknown) => {
--- a/tests/support/gatewayFleet.ts
+++ b/tests/support/gatewayFleet.ts
@@ -95,11 +95,11 @@
 }
 
 /** Creates a route; what a test does not state is a plain call that may not be repeated. */
-export function createRoute(pathPrefix: string, fields: Partial<Route> = {}): Route {
+export function createRoute(prefix: string, fields: Partial<Route> = {}): Route {
   return {
-    name: brandId(pathPrefix),
+    name: brandId(prefix),
     host: HOST,
-    pathPrefix,
+    prefix,
     split: [{ service: SERVICE, weight: 1 }],
     isStream: false,
     repeatability: 'once',
@@ -226,7 +226,7 @@
     await once(server, 'listening');
     const { port } = server.address() as AddressInfo;
     const size = this.gateway.directory.getSize();
-    const entry: Omit<EndpointEntry, never> = {
+    const entry: EndpointEntry = {
       id: brandId(id),
       startedAtMs: 1,
       sequence: 1,
