--- a/src/escrow/allotmentPlan.ts
+++ b/src/escrow/allotmentPlan.ts
@@ -43,7 +43,7 @@
 /** All allotments together keep to these parts of what is not spent: a partition from the store may come at any
  * time, and what the holders have in hand when all die at once does not come back. */
 const LEFT_SHARE_MIN = 0.2;
-const LEFT_SHARE_MAX = 0.45;
+const LEFT_SHARE_MAX = 0.3;
 /** Claims when free tokens fall below this part of the target. */
 const LOW_SHARE = 0.7;
 /** Gives back when free tokens pass this multiple of the target. */
@@ -55,10 +55,9 @@
 
 /** Returns the free tokens that a holder aims at. */
 export function getAllotmentTarget(situation: AllotmentSituation): number {
-  const { expected, meanHold, share } = situation;
+  const { expected, share } = situation;
   const left = Math.max(0, situation.left) * share;
-  const desired = expected + meanHold;
-  return Math.ceil(Math.min(Math.max(desired, left * LEFT_SHARE_MIN), left * LEFT_SHARE_MAX));
+  return Math.ceil(Math.min(Math.max(expected, left * LEFT_SHARE_MIN), left * LEFT_SHARE_MAX));
 }
 
 /**
