Claim little while the store has just come back

Cause: claims are lost when all processes die, which is often just after an outage has ended, and all claims were renewed for the whole horizon at once then. Change: claims cover a fifth of the horizon when the store is back and all of it after 5 s; the window is a time of its own.

--- a/src/escrow/accountShard.ts
+++ b/src/escrow/accountShard.ts
@@ -49,6 +49,9 @@
 const RETRY_MIN_MS = 150;
 const RETRY_MAX_MS = 700;
 const READ_INTERVAL_MS = 1_500; // an idle holder must hear what others lack
+const WINDOW_MS = 1_700; // spending until some records later
+const COVERAGE_MIN = 0.2;
+const COVERAGE_GROWTH_MS = 6_000; // shorter than the calm between two outages of the store in a row
 const SCARCE_SHARE = 0.85;
 const CONFLICTS_MAX = 12;
 const CONFLICT_BACKOFF_MS = 6; // about one append of another holder
@@ -83,6 +86,9 @@
 
   private failures = 0;
 
+  /** Since when the store has answered. */
+  private reachedAt = 0;
+
   /** When the sync in progress began, or its last call was answered. */
   private calledAt = 0;
 
@@ -108,6 +114,7 @@
   /** Starts reading and claiming. */
   start(): void {
     const { timers, random = Math.random } = this.options;
+    this.reachedAt = timers.now();
     this.unsubscribe = timers.subscribeEvery(CHECK_INTERVAL_MS * (0.9 + 0.2 * random()), () =>
       this.check(),
     );
@@ -298,6 +305,7 @@
     }
     const account = this.getAccount(budget);
     const { allotment, lacking } = account;
+    const coverage = this.getCoverage();
     const waiting = allotment.waiters.reduce((sum, { need }) => sum + need, 0);
     return {
       total: total.tokens,
@@ -306,7 +314,9 @@
       free: account.getFreeInAll(),
       freeOpened: allotment.free,
       hasWitnesses: this.ledger.holders.size > 1,
-      expected: account.getExpectedSpending(horizonMs, timers.now()),
+      expected: account.getExpectedSpending(horizonMs * coverage, timers.now()),
+      coverage,
+      expectedSoon: account.getExpectedSpending(WINDOW_MS, timers.now()),
       meanHold: allotment.meanHold,
       share: this.ledger.getShare(budget, this.options.vm, total.tokens),
       needed: Math.max(waiting, lacking),
@@ -314,6 +324,15 @@
     };
   }
 
+  /**
+   * Returns the part of the horizon that claims cover now. A store that has just come back is asked for little at
+   * first: fleets are often started anew after an outage, and what processes that die together have claimed is lost.
+   */
+  private getCoverage(): number {
+    const reachedMs = this.options.timers.now() - this.reachedAt;
+    return Math.min(1, COVERAGE_MIN + reachedMs / COVERAGE_GROWTH_MS);
+  }
+
   /** Reads to the end and appends this process's record, until one append is judged. */
   private async sync(isFinal: boolean): Promise<void> {
     this.isSyncing = true;
@@ -478,6 +497,7 @@
 
   private recordSuccess(): void {
     if (this.failures > 0) {
+      this.reachedAt = this.options.timers.now();
       this.options.logger.info('accounts in reach', {
         offset: this.reader.getOffset(),
         failures: this.failures,
--- a/src/escrow/allotmentPlan.ts
+++ b/src/escrow/allotmentPlan.ts
@@ -18,8 +18,12 @@
   readonly freeOpened: number;
   /** Whether there are witnesses, without which all that is claimed is opened. */
   readonly hasWitnesses: boolean;
-  /** What this holder will spend within the horizon if it goes on as it did. */
+  /** What this holder will spend within the time that claims cover now if it goes on as it did. */
   readonly expected: number;
+  /** The part of the horizon that claims cover now, in (0, 1]. */
+  readonly coverage: number;
+  /** What it will spend until some records later. */
+  readonly expectedSoon: number;
   /** The mean of its recent requests. */
   readonly meanHold: number;
   /** The part of all spending that is this holder's, in [0, 1]. */
@@ -49,15 +53,13 @@
 /** Gives back when free tokens pass this multiple of the target. */
 const HIGH_SHARE = 1.5;
 
-/** The part of the horizon that opened tokens cover: some intervals between two records. A request that comes seldom
- * waits for one append instead: two requests' room on each vm was an eighth of a total when all died at once. */
-const WINDOW_SHARE = 1 / 5;
-
 /** Returns the free tokens that a holder aims at. */
 export function getAllotmentTarget(situation: AllotmentSituation): number {
-  const { expected, share } = situation;
+  const { expected, share, coverage } = situation;
   const left = Math.max(0, situation.left) * share;
-  return Math.ceil(Math.min(Math.max(expected, left * LEFT_SHARE_MIN), left * LEFT_SHARE_MAX));
+  return Math.ceil(
+    Math.min(Math.max(expected, left * LEFT_SHARE_MIN * coverage), left * LEFT_SHARE_MAX),
+  );
 }
 
 /**
@@ -66,7 +68,7 @@
  * @example
  * // A waiting request is served though little is left: the need goes before the share.
  * planAllotment({ total: 1_000, claimed: 900, left: 300, free: 0, freeOpened: 0, hasWitnesses: true,
- *   expected: 500, meanHold: 50, share: 0.2, needed: 80, wantedByOthers: 0 }).claimed; // 80
+ *   expected: 500, coverage: 1, expectedSoon: 100, meanHold: 50, share: 0.2, needed: 80, wantedByOthers: 0 }).claimed; // 80
  */
 export function planAllotment(situation: AllotmentSituation): AllotmentPlan {
   const { claimed, wanted } = planClaim(situation);
@@ -107,11 +109,13 @@
   return free > target * HIGH_SHARE ? Math.floor(free - target) : 0;
 }
 
-/** What is opened is lost when the process dies, so it follows the spending of the next moments. */
+/**
+ * What is opened is lost when the process dies, so it follows the spending of the next moments. A request that comes
+ * seldom waits for one append: two requests' room on each vm was an eighth of a total when all died at once.
+ */
 function planOpening(situation: AllotmentSituation, free: number): number {
-  const { freeOpened, expected, needed, hasWitnesses } = situation;
-  const window = expected * WINDOW_SHARE;
-  const desired = hasWitnesses ? Math.min(free, Math.ceil(needed + window)) : free;
+  const { freeOpened, expectedSoon, needed, hasWitnesses } = situation;
+  const desired = hasWitnesses ? Math.min(free, Math.ceil(needed + expectedSoon)) : free;
   const isTooLow = freeOpened < needed || freeOpened < desired * LOW_SHARE;
   const isTooHigh = freeOpened > desired * HIGH_SHARE || freeOpened > free;
   return isTooLow || isTooHigh ? Math.floor(desired - freeOpened) : 0;
--- a/tests/gateway/decisions.test.ts
+++ b/tests/gateway/decisions.test.ts
@@ -183,6 +183,8 @@
   freeOpened: 0,
   hasWitnesses: true,
   expected: 4_000,
+  coverage: 1,
+  expectedSoon: 800,
   meanHold: 500,
   share: 0.25,
   needed: 0,
@@ -201,6 +203,8 @@
         freeOpened: fc.nat(20_000),
         hasWitnesses: fc.boolean(),
         expected: amount,
+        coverage: fc.double({ min: 0.1, max: 1, noNaN: true }),
+        expectedSoon: amount,
         meanHold: fc.nat(60_000),
         share: fc.double({ min: 0, max: 1, noNaN: true }),
         needed: fc.nat(80_000),
@@ -245,6 +249,12 @@
   expect(planAllotment({ ...seldom, freeOpened: 5_000 }).opened).toEqual(-4_200);
 });
 
+test('a holder claims little while the store has just come back', () => {
+  const idle = { ...allotment, expected: 0 };
+  const early = getAllotmentTarget({ ...idle, coverage: 0.2 });
+  expect(early).toBeLessThanOrEqual(getAllotmentTarget(idle) / 4);
+});
+
 test('the demand is right from the first seconds of a steady load', () => {
   const rate = new DemandRate(8_500);
   for (let ms = 0; ms <= 5_000; ms += 100) {
