Charge input with the first output that goes to the caller

Cause: callers were refused though they had tokens left: a call that an endpoint broke off, or whose caller left before the first event, was charged its whole input. Ruled out: rounding to whole events (0.1 in 100); a top-up that was not applied (all vms had version 33 within 30 ms). Change: a call costs its input once output goes to the caller, else nothing. A whole answer, which tells no tokens, now costs the most that it may have: before it cost no output at all. Tests: 'a call that delivers nothing costs nothing...' and 'a whole answer costs...' both fail on the old code.

--- a/src/gateway/filters/holdTokens.ts
+++ b/src/gateway/filters/holdTokens.ts
@@ -4,6 +4,7 @@
 import type { EscrowController } from '../../escrow/escrowController.js';
 import { Filter, type FilterResult } from '../../types/exchange.js';
 import { brandId, type BudgetId } from '../../types/ids.js';
+import type { DeclaredTokens } from '../../types/gateway.js';
 import type { GatewayCall } from '../call.js';
 
 /** Sets `hold`. */
@@ -36,8 +37,15 @@
     try {
       return await next();
     } finally {
-      // Input counts once, as soon as an endpoint may have read it; output as it was delivered.
-      held.hold.settle(call.mayHaveRun ? prompt + Math.min(maxOutput, call.deliveredTokens) : 0);
+      held.hold.settle(getUsedTokens(facts.tokens, call.deliveredTokens));
     }
   }
 }
+
+/**
+ * Returns what a call has cost: output as it was delivered, and input once, with the first output. A caller that got
+ * nothing, for an endpoint broke off or the caller left, pays nothing.
+ */
+function getUsedTokens({ prompt, maxOutput }: DeclaredTokens, delivered: number): number {
+  return delivered > 0 ? prompt + Math.min(maxOutput, delivered) : 0;
+}
--- a/src/gateway/forward/endpointTry.ts
+++ b/src/gateway/forward/endpointTry.ts
@@ -177,6 +177,10 @@
     if (this.isStopped || call.caller.isStarted()) {
       return { kind: 'aborted' };
     }
+    if (isSuccess(facts)) {
+      // A whole answer does not tell its tokens, so it costs the most that it may have.
+      call.deliveredTokens = Math.max(1, call.facts.tokens?.maxOutput ?? 0);
+    }
     call.caller.send(facts.status, facts.passedHeaders, body);
     return { kind: 'done' };
   }
--- a/tests/gateway/gateway.test.ts
+++ b/tests/gateway/gateway.test.ts
@@ -168,6 +168,44 @@
   },
 );
 
+test(
+  'a call that delivers nothing costs nothing, and one that delivers costs its input once',
+  TIMEOUT,
+  async (context) => {
+    const fleet = await GatewayFleet.start(context);
+    await fleet.configure([createRoute('/a/', { isStream: true })], 400);
+    const modes = ['break', 'break', 'serve', 'serve', 'serve'];
+    await fleet.addEndpoint('e1', (message, response) => {
+      if (modes.shift() === 'break') {
+        message.socket.destroy();
+        return;
+      }
+      sendEvents(message, response, [1]);
+      response.end();
+    });
+    const statuses: number[] = [];
+    for (let index = 0; index < 6; index += 1) {
+      statuses.push((await fleet.call('/a/x', TOKENS)).status);
+    }
+    expect(statuses).toEqual([502, 502, 200, 200, 200, 402]);
+  },
+);
+
+test(
+  'a whole answer costs its input and all the output that it may have',
+  TIMEOUT,
+  async (context) => {
+    const fleet = await GatewayFleet.start(context);
+    await fleet.configure([createRoute('/a/')], 400);
+    await fleet.addEndpoint('e1', (message, response) => answerWhole(message, response, 'done'));
+    const statuses: number[] = [];
+    for (let index = 0; index < 3; index += 1) {
+      statuses.push((await fleet.call('/a/x', TOKENS)).status);
+    }
+    expect(statuses).toEqual([200, 200, 402]);
+  },
+);
+
 test(
   'a stopping gateway is not ready, closes connections after answers and cuts none',
   TIMEOUT,
