Give back what is free also when a process stops during a sync

Cause: AccountShard.stop did nothing while a sync was under way, so what the process had claimed counted as spent until its successor came. Seen in reading. Ruled out: two syncs at a time (they append over each other). Change: stop waits for the sync in progress, starts no other, then gives back. Test: 'a shard that stops while a sync is under way...' fails on the old code (902 tokens claimed after the stop, 0 expected).

--- a/src/escrow/accountShard.ts
+++ b/src/escrow/accountShard.ts
@@ -78,6 +78,11 @@
 
   private isSyncing = false;
 
+  /** Ends with the sync in progress. */
+  private syncing: Promise<void> = Promise.resolve();
+
+  private isStopping = false;
+
   private isWanted = false;
 
   private isScheduled = false;
@@ -125,7 +130,10 @@
   async stop(): Promise<void> {
     this.unsubscribe();
     this.unsubscribe = () => {};
-    if (this.isProven() && !this.isSyncing) {
+    this.isStopping = true;
+    // Two syncs at a time would append over each other.
+    await this.syncing;
+    if (this.isProven()) {
       await this.sync(true);
     }
   }
@@ -171,6 +179,9 @@
   /** Reads and claims as soon as possible. */
   requestSync(): void {
     const { timers, logger } = this.options;
+    if (this.isStopping) {
+      return;
+    }
     if (this.isSyncing) {
       this.isWanted = true;
       return;
@@ -183,7 +194,7 @@
       this.scheduleSync(this.syncedAt + SYNC_GAP_MS - now);
       return;
     }
-    this.sync(false).catch((error: unknown) => {
+    this.syncing = this.sync(false).catch((error: unknown) => {
       logger.error('account sync failed', { error: getErrorMessage(error) });
     });
   }
