Split the accounts of a shard from its exchange with the store

Cause: accountShard.ts had 530 lines and three subjects: the accounts and what to claim for each, whether the store answers, and the exchange of records. Ruled out: moving the pending record out too; it shares its state with the extension of claims.

--- a/src/escrow/account.ts
+++ b/src/escrow/account.ts
@@ -81,6 +81,11 @@
     return this.inheritedSettled + this.allotment.spent;
   }
 
+  /** Returns the change that gives back all that is free. */
+  getReturn(): AccountChange {
+    return { claimed: -this.getFreeInAll(), opened: -this.allotment.free, wanted: 0 };
+  }
+
   /** Withholds what a change gives up; returns the change as it can be made. */
   prepare(change: AccountChange): AccountChange {
     if (change.opened >= 0) {
--- a/src/escrow/accountShard.ts
+++ b/src/escrow/accountShard.ts
@@ -5,15 +5,16 @@
  */
 import type { Logger } from '../core/logging.js';
 import type { TimerService, Unsubscribe } from '../core/timers.js';
-import { getErrorMessage, getOrCreate } from '../core/utilities.js';
+import { getErrorMessage } from '../core/utilities.js';
 import type { BudgetId, Incarnation, Offset, VmId } from '../types/ids.js';
 import type { KeyedStore, Topic } from '../types/store.js';
-import { Account, type AccountChange } from './account.js';
-import { planAllotment, type AllotmentSituation } from './allotmentPlan.js';
-import { encodeHolderRecord, type HolderBalance, type HolderRecord } from './holderRecord.js';
+import type { Account, AccountChange } from './account.js';
+import { AccountBook } from './accountBook.js';
+import { encodeHolderRecord, type HolderRecord } from './holderRecord.js';
 import { chooseWitnesses, type ExtensionClient } from './extensionClient.js';
 import type { Ledger, VersionedTotal } from './ledger.js';
 import { LedgerReader } from './ledgerReader.js';
+import { StoreReach } from './storeReach.js';
 
 /** Options of a shard. */
 export interface AccountShardOptions {
@@ -46,13 +47,7 @@
 const CHECK_INTERVAL_MS = 300;
 const REPORT_INTERVAL_MS = 1_000; // what was settled since counts as lost when the process dies; each report is a priced call
 const SYNC_GAP_MS = 40; // calls to the store are priced; a request can wait so long
-const RETRY_MIN_MS = 150;
-const RETRY_MAX_MS = 700;
 const READ_INTERVAL_MS = 1_500; // an idle holder must hear what others lack
-const WINDOW_MS = 1_700; // spending until some records later
-const COVERAGE_MIN = 0.2;
-const COVERAGE_GROWTH_MS = 6_000; // shorter than the calm between two outages of the store in a row
-const SCARCE_SHARE = 0.85;
 const CONFLICTS_MAX = 12;
 const CONFLICT_BACKOFF_MS = 6; // about one append of another holder
 
@@ -60,7 +55,9 @@
 export class AccountShard {
   readonly ledger: Ledger;
 
-  private readonly accounts = new Map<BudgetId, Account>();
+  private readonly book: AccountBook;
+
+  private readonly reach: StoreReach;
 
   private readonly reader: LedgerReader;
 
@@ -89,16 +86,6 @@
 
   private syncedAt = 0;
 
-  private failures = 0;
-
-  /** Since when the store has answered. */
-  private reachedAt = 0;
-
-  /** When the sync in progress began, or its last call was answered. */
-  private calledAt = 0;
-
-  private retryAt = 0;
-
   private reportedAt = 0;
 
   private reported = '';
@@ -106,7 +93,7 @@
   private unsubscribe: Unsubscribe = () => {};
 
   constructor(private readonly options: AccountShardOptions) {
-    const { store, topic, logger } = options;
+    const { store, topic, logger, timers, vm, horizonMs, getTotals } = options;
     this.reader = new LedgerReader({
       store,
       topic,
@@ -114,12 +101,20 @@
       onRecord: (holder, record) => this.onRecord(holder, record),
     });
     this.ledger = this.reader.ledger;
+    this.reach = new StoreReach(timers, logger);
+    this.book = new AccountBook({
+      ledger: this.ledger,
+      timers,
+      vm,
+      horizonMs,
+      getTotals,
+      getReachedMs: () => this.reach.getReachedMs(),
+    });
   }
 
   /** Starts reading and claiming. */
   start(): void {
     const { timers, random = Math.random } = this.options;
-    this.reachedAt = timers.now();
     this.unsubscribe = timers.subscribeEvery(CHECK_INTERVAL_MS * (0.9 + 0.2 * random()), () =>
       this.check(),
     );
@@ -145,35 +140,32 @@
 
   /** Returns whether the last call to the store failed. */
   isStoreAway(): boolean {
-    return this.failures > 0;
+    return this.reach.isAway();
   }
 
   /** Returns whether the store has not answered for so long. */
   isStoreLate(lateMs: number): boolean {
-    const waitedMs = this.options.timers.now() - this.calledAt;
-    return this.isStoreAway() || (this.isSyncing && waitedMs >= lateMs);
+    return this.reach.isAway() || (this.isSyncing && this.reach.getWaitedMs() >= lateMs);
   }
 
   /** Returns what nobody has claimed, as last read. */
   getAvailable(budget: BudgetId): number {
-    return (this.getTotal(budget)?.tokens ?? 0) - this.ledger.getClaimed(budget);
+    return this.book.getAvailable(budget);
   }
 
   /** Returns the account of a budget. */
   getAccount(budget: BudgetId): Account {
-    return getOrCreate(this.accounts, budget, () => new Account(budget, this.options.horizonMs));
+    return this.book.getAccount(budget);
   }
 
   /** Returns what the log proves to be spent, with what this process has spent since. */
   getCertainlySpent(budget: BudgetId): number {
-    const account = this.getAccount(budget);
-    const own = this.ledger.holders.get(this.options.vm)?.balances.get(budget)?.settled ?? 0;
-    return this.ledger.getSettled(budget) - own + Math.max(own, account.getSettled());
+    return this.book.getCertainlySpent(budget);
   }
 
   /** Returns the total of a budget as known here or to any holder. */
   getTotal(budget: BudgetId): VersionedTotal | undefined {
-    return this.ledger.getTotal(budget, this.options.getTotals().get(budget));
+    return this.book.getTotal(budget);
   }
 
   /** Reads and claims as soon as possible. */
@@ -186,10 +178,10 @@
       this.isWanted = true;
       return;
     }
-    const now = timers.now();
-    if (now < this.retryAt) {
+    if (!this.reach.isRetryDue()) {
       return;
     }
+    const now = timers.now();
     if (now < this.syncedAt + SYNC_GAP_MS) {
       this.scheduleSync(this.syncedAt + SYNC_GAP_MS - now);
       return;
@@ -221,10 +213,7 @@
       return false;
     }
     this.extendedSequence = sequence;
-    let tokens = 0;
-    this.accounts.forEach((account, budget) => {
-      tokens += account.extend(this.pending?.changes.get(budget));
-    });
+    const tokens = this.book.extend(this.pending?.changes);
     logger.info('claims extended', { sequence, tokens });
     return tokens > 0;
   }
@@ -242,12 +231,11 @@
 
   private check(): void {
     const { timers } = this.options;
-    const now = timers.now();
-    if (now < this.retryAt || this.isSyncing) {
+    if (!this.reach.isRetryDue() || this.isSyncing) {
       return;
     }
-    const isReadDue = now - this.syncedAt >= READ_INTERVAL_MS;
-    if (isReadDue || this.isRecordDue() || this.hasScarceBudget()) {
+    const isReadDue = timers.now() - this.syncedAt >= READ_INTERVAL_MS;
+    if (isReadDue || this.isRecordDue() || this.book.hasScarceBudget()) {
       this.requestSync();
     }
   }
@@ -257,33 +245,12 @@
     return (
       !this.isProven() ||
       this.pending !== undefined ||
-      this.hasChanges() ||
+      this.book.hasChanges() ||
       this.hasOtherWitnesses() ||
       this.isReportDue()
     );
   }
 
-  /** Returns whether any allotment is to be changed, by what was last read. */
-  private hasChanges(): boolean {
-    return [...this.getBudgets()].some((budget) => {
-      const situation = this.getSituation(budget);
-      const account = this.getAccount(budget);
-      const plan = situation && planAllotment(situation);
-      return (
-        plan !== undefined &&
-        (plan.claimed !== 0 || plan.opened !== 0 || plan.wanted !== account.wanted)
-      );
-    });
-  }
-
-  /** Returns whether others may lack what is idle here, so that their records are to be read. */
-  private hasScarceBudget(): boolean {
-    return [...this.getBudgets()].some((budget) => {
-      const total = this.getTotal(budget)?.tokens ?? 0;
-      return this.ledger.getClaimed(budget) > total * SCARCE_SHARE;
-    });
-  }
-
   /** Returns whether the stored record names witnesses that have ended, or too few. */
   private hasOtherWitnesses(): boolean {
     const { vm } = this.options;
@@ -297,57 +264,13 @@
 
   private isReportDue(): boolean {
     const elapsedMs = this.options.timers.now() - this.reportedAt;
-    return elapsedMs >= REPORT_INTERVAL_MS && this.describeSpending() !== this.reported;
-  }
-
-  private describeSpending(): string {
-    return [...this.accounts.values()].map(({ allotment }) => allotment.spent).join(',');
-  }
-
-  private getBudgets(): Set<BudgetId> {
-    return new Set([...this.options.getTotals().keys(), ...this.accounts.keys()]);
-  }
-
-  private getSituation(budget: BudgetId): AllotmentSituation | undefined {
-    const { timers, horizonMs } = this.options;
-    const total = this.getTotal(budget);
-    if (!total) {
-      return undefined;
-    }
-    const account = this.getAccount(budget);
-    const { allotment, lacking } = account;
-    const coverage = this.getCoverage();
-    const waiting = allotment.waiters.reduce((sum, { need }) => sum + need, 0);
-    return {
-      total: total.tokens,
-      claimed: this.ledger.getClaimed(budget),
-      left: total.tokens - this.ledger.getSettled(budget) - this.ledger.getLost(budget),
-      free: account.getFreeInAll(),
-      freeOpened: allotment.free,
-      hasWitnesses: this.ledger.holders.size > 1,
-      expected: account.getExpectedSpending(horizonMs * coverage, timers.now()),
-      coverage,
-      expectedSoon: account.getExpectedSpending(WINDOW_MS, timers.now()),
-      meanHold: allotment.meanHold,
-      share: this.ledger.getShare(budget, this.options.vm, total.tokens),
-      needed: Math.max(waiting, lacking),
-      wantedByOthers: this.ledger.getWantedByOthers(budget, this.options.vm),
-    };
-  }
-
-  /**
-   * Returns the part of the horizon that claims cover now. A store that has just come back is asked for little at
-   * first: fleets are often started anew after an outage, and what processes that die together have claimed is lost.
-   */
-  private getCoverage(): number {
-    const reachedMs = this.options.timers.now() - this.reachedAt;
-    return Math.min(1, COVERAGE_MIN + reachedMs / COVERAGE_GROWTH_MS);
+    return elapsedMs >= REPORT_INTERVAL_MS && this.book.describeSpending() !== this.reported;
   }
 
   /** Reads to the end and appends this process's record, until one append is judged. */
   private async sync(isFinal: boolean): Promise<void> {
     this.isSyncing = true;
-    this.calledAt = this.options.timers.now();
+    this.reach.recordCall();
     try {
       let isDone = false;
       for (let conflicts = 0; !isDone && conflicts < CONFLICTS_MAX; conflicts += 1) {
@@ -376,11 +299,11 @@
   private async readToEnd(): Promise<boolean> {
     const end = await this.reader.readToEnd();
     if (end.err) {
-      this.recordFailure(JSON.stringify(end.val));
+      this.reach.recordFailure(this.reader.getOffset(), JSON.stringify(end.val));
       return false;
     }
     this.resolvePending(end.val);
-    this.recordSuccess();
+    this.reach.recordSuccess(this.reader.getOffset());
     await this.settleForerunner();
     return true;
   }
@@ -407,9 +330,7 @@
       return;
     }
     const isUnextended = await this.options.extensions.isUnextended(forerunner);
-    forerunner.balances.forEach(({ claimed, opened, settled }, budget) => {
-      this.getAccount(budget).inherit(isUnextended ? opened : claimed, settled);
-    });
+    this.book.inherit(forerunner, isUnextended);
     this.forerunner = undefined;
     const { run, sequence } = forerunner;
     const balances = [...forerunner.balances].map(
@@ -433,7 +354,7 @@
     this.pending = undefined;
     this.sequence = pending.record.sequence;
     this.reportedAt = this.options.timers.now();
-    pending.changes.forEach((change, budget) => this.getAccount(budget).confirm(change));
+    this.book.confirm(pending.changes);
   }
 
   private revertPending(reason: string): void {
@@ -442,7 +363,7 @@
       return;
     }
     this.pending = undefined;
-    pending.changes.forEach((_, budget) => this.getAccount(budget).revert());
+    this.book.revert(pending.changes);
     this.options.logger.debug('account record dropped', { at: pending.at, reason });
   }
 
@@ -453,7 +374,7 @@
 
   private async appendRecord(isFinal: boolean): Promise<'done' | 'conflict'> {
     const { store, topic, vm } = this.options;
-    const spending = this.describeSpending();
+    const spending = this.book.describeSpending();
     // A record in doubt is sent again as it was: whichever append comes first, only one can be stored.
     this.pending ??= this.createPending(isFinal);
     const { pending } = this;
@@ -467,7 +388,7 @@
       this.reader.applyOwn(vm, pending.record, appended.val);
       this.reported = spending;
       this.confirmPending();
-      this.recordSuccess();
+      this.reach.recordSuccess(this.reader.getOffset());
       return 'done';
     }
     if (appended.val.kind === 'conflict') {
@@ -477,54 +398,15 @@
     if (appended.val.kind === 'refused') {
       this.revertPending('refused');
     }
-    this.recordFailure(JSON.stringify(appended.val));
+    this.reach.recordFailure(this.reader.getOffset(), JSON.stringify(appended.val));
     return 'done';
   }
 
   private createPending(isFinal: boolean): PendingRecord {
     const { run, address, vm } = this.options;
-    const changes = new Map<BudgetId, AccountChange>();
-    const balances = new Map<BudgetId, HolderBalance>();
-    this.getBudgets().forEach((budget) => {
-      const account = this.getAccount(budget);
-      const change = account.prepare(this.planBudget(budget, isFinal));
-      changes.set(budget, change);
-      balances.set(budget, account.describe(change, this.getTotal(budget)));
-      account.lacking = 0;
-    });
+    const { changes, balances } = this.book.prepare(isFinal);
     const witnesses = chooseWitnesses(this.ledger, vm);
     const record = { run, sequence: this.sequence + 1, address, witnesses, balances };
     return { at: this.reader.getOffset()!, record, bytes: encodeHolderRecord(record), changes };
   }
-
-  private planBudget(budget: BudgetId, isFinal: boolean): AccountChange {
-    const account = this.getAccount(budget);
-    if (isFinal) {
-      return { claimed: -account.getFreeInAll(), opened: -account.allotment.free, wanted: 0 };
-    }
-    const situation = this.getSituation(budget);
-    return situation ? planAllotment(situation) : { claimed: 0, opened: 0, wanted: 0 };
-  }
-
-  private recordSuccess(): void {
-    if (this.failures > 0) {
-      this.reachedAt = this.options.timers.now();
-      this.options.logger.info('accounts in reach', {
-        offset: this.reader.getOffset(),
-        failures: this.failures,
-      });
-    }
-    this.failures = 0;
-    this.retryAt = 0;
-    this.calledAt = this.options.timers.now();
-  }
-
-  private recordFailure(detail: string): void {
-    const { logger, timers } = this.options;
-    if (this.failures === 0) {
-      logger.warn('accounts out of reach', { detail, offset: this.reader.getOffset() });
-    }
-    this.failures += 1;
-    this.retryAt = timers.now() + Math.min(RETRY_MAX_MS, RETRY_MIN_MS * this.failures);
-  }
 }
--- /dev/null
+++ b/src/escrow/storeReach.ts
@@ -0,0 +1,72 @@
+/** What one process knows about whether the store answers it. */
+import type { Logger } from '../core/logging.js';
+import type { TimerService } from '../core/timers.js';
+import type { Offset } from '../types/ids.js';
+
+const RETRY_MIN_MS = 150;
+const RETRY_MAX_MS = 700;
+
+/** Failures of the store in a row, and when it answered. */
+export class StoreReach {
+  private failures = 0;
+
+  /** When the exchange in progress began, or its last call was answered. */
+  private calledAt = 0;
+
+  private retryAt = 0;
+
+  /** Since when the store has answered. */
+  private reachedAt: number;
+
+  constructor(
+    private readonly timers: TimerService,
+    private readonly logger: Logger,
+  ) {
+    this.reachedAt = timers.now();
+  }
+
+  /** Returns whether the last call failed. */
+  isAway(): boolean {
+    return this.failures > 0;
+  }
+
+  /** Returns whether a call may be made again. */
+  isRetryDue(): boolean {
+    return this.timers.now() >= this.retryAt;
+  }
+
+  /** Returns how long a call has had no answer, in milliseconds. */
+  getWaitedMs(): number {
+    return this.timers.now() - this.calledAt;
+  }
+
+  /** Returns how long ago the store began to answer, in milliseconds. */
+  getReachedMs(): number {
+    return this.timers.now() - this.reachedAt;
+  }
+
+  /** Notes that an exchange begins. */
+  recordCall(): void {
+    this.calledAt = this.timers.now();
+  }
+
+  /** Notes an answer. */
+  recordSuccess(offset: Offset | undefined): void {
+    if (this.failures > 0) {
+      this.reachedAt = this.timers.now();
+      this.logger.info('accounts in reach', { offset, failures: this.failures });
+    }
+    this.failures = 0;
+    this.retryAt = 0;
+    this.calledAt = this.timers.now();
+  }
+
+  /** Notes a call without a usable answer. */
+  recordFailure(offset: Offset | undefined, detail: string): void {
+    if (this.failures === 0) {
+      this.logger.warn('accounts out of reach', { detail, offset });
+    }
+    this.failures += 1;
+    this.retryAt = this.timers.now() + Math.min(RETRY_MAX_MS, RETRY_MIN_MS * this.failures);
+  }
+}
