--- a/src/escrow/accountShard.ts
+++ b/src/escrow/accountShard.ts
@@ -45,7 +45,7 @@
 }
 
 const CHECK_INTERVAL_MS = 300;
-const REPORT_INTERVAL_MS = 1_000; // what was settled since counts as lost when the process dies; each report is a priced call
+const REPORT_INTERVAL_MS = 1_000; // others plan by what is settled, and a successor takes the rest as spent; a report is priced
 const SYNC_GAP_MS = 40; // calls to the store are priced; a request can wait so long
 const READ_INTERVAL_MS = 1_500; // an idle holder must hear what others lack
 const CONFLICTS_MAX = 12;
