Call what was there already, and add the ledger's sums up once

Each plan of a budget added the balances of all holders up five times, twice for each due check. Ruled out: joining LedgerReader and KeyedFollower (one reads when asked, the other for ever); a waiter in place of the lender's short poll (a waiter takes the tokens as a hold of this vm). Change: server/answerPeer.ts serves both servers; the book is asked directly; the ledger changes its sums with each record.

--- a/src/escrow/accountShard.ts
+++ b/src/escrow/accountShard.ts
@@ -8,7 +8,7 @@
 import { getErrorMessage } from '../core/utilities.js';
 import type { BudgetId, Incarnation, Offset, VmId } from '../types/ids.js';
 import type { KeyedStore, Topic } from '../types/store.js';
-import type { Account, AccountChange } from './account.js';
+import type { AccountChange } from './account.js';
 import { AccountBook } from './accountBook.js';
 import { encodeHolderRecord, type HolderRecord } from './holderRecord.js';
 import { chooseWitnesses, type ExtensionClient } from './extensionClient.js';
@@ -55,7 +55,7 @@
 export class AccountShard {
   readonly ledger: Ledger;
 
-  private readonly book: AccountBook;
+  readonly book: AccountBook;
 
   private readonly reach: StoreReach;
 
@@ -148,26 +148,6 @@
     return this.reach.isAway() || (this.isSyncing && this.reach.getWaitedMs() >= lateMs);
   }
 
-  /** Returns what nobody has claimed, as last read. */
-  getAvailable(budget: BudgetId): number {
-    return this.book.getAvailable(budget);
-  }
-
-  /** Returns the account of a budget. */
-  getAccount(budget: BudgetId): Account {
-    return this.book.getAccount(budget);
-  }
-
-  /** Returns what the log proves to be spent, with what this process has spent since. */
-  getCertainlySpent(budget: BudgetId): number {
-    return this.book.getCertainlySpent(budget);
-  }
-
-  /** Returns the total of a budget as known here or to any holder. */
-  getTotal(budget: BudgetId): VersionedTotal | undefined {
-    return this.book.getTotal(budget);
-  }
-
   /** Reads and claims as soon as possible. */
   requestSync(): void {
     const { timers, logger } = this.options;
--- a/src/escrow/escrowController.ts
+++ b/src/escrow/escrowController.ts
@@ -83,7 +83,7 @@
    */
   async hold(budget: BudgetId, tokens: number): Promise<HoldResult> {
     const shard = this.getShard(budget);
-    const account = shard.getAccount(budget);
+    const account = shard.book.getAccount(budget);
     const now = this.options.timers.now();
     if (account.allotment.tryHold(tokens, now)) {
       return this.createHold(account, tokens);
@@ -104,7 +104,7 @@
   /** Takes free tokens out for a peer and returns how many; they count as spent here. */
   async lendTokens(budget: BudgetId, need: number, want: number): Promise<number> {
     const shard = this.getShard(budget);
-    const account = shard.getAccount(budget);
+    const account = shard.book.getAccount(budget);
     const { allotment } = account;
     if (getSpare(account) < need) {
       await (shard.isStoreAway() ? shard.extend() : this.drawForPeer(shard, account, need, want));
@@ -123,7 +123,7 @@
     need: number,
     want: number,
   ): Promise<void> {
-    if (shard.getAvailable(account.allotment.budget) < need) {
+    if (shard.book.getAvailable(account.allotment.budget) < need) {
       return;
     }
     account.lacking = Math.max(account.lacking, want + Math.ceil(account.allotment.meanHold));
@@ -159,7 +159,7 @@
     };
     const cancelExtension = timers.subscribeEvery(EXTEND_AFTER_MS, reach);
     reach();
-    if (shard.getAvailable(account.allotment.budget) < tokens) {
+    if (shard.book.getAvailable(account.allotment.budget) < tokens) {
       this.askPeers(account, tokens);
     }
     const cancel = timers.subscribe(holdWaitMs, () => granted.resolve(false));
@@ -231,8 +231,8 @@
 
   /** Says that the balance is too low only where the store proves it. */
   private refuse(shard: AccountShard, budget: BudgetId, tokens: number): HoldResult {
-    const total = shard.getTotal(budget)?.tokens ?? 0;
-    const spent = shard.getCertainlySpent(budget);
+    const total = shard.book.getTotal(budget)?.tokens ?? 0;
+    const spent = shard.book.getCertainlySpent(budget);
     const inputs = `need ${tokens}, total ${total}, spent ${spent}, claimed ${shard.ledger.getClaimed(budget)}`;
     if (spent + tokens > total) {
       return { kind: 'refused', refusal: createRefusal('balanceTooLow', { detail: inputs }) };
--- a/src/escrow/ledger.ts
+++ b/src/escrow/ledger.ts
@@ -1,4 +1,5 @@
 /** What the store shows of all holders: the sums that claims are judged by. */
+import { getOrCreate } from '../core/utilities.js';
 import type { BudgetId, VmId } from '../types/ids.js';
 import type { HolderRecord } from './holderRecord.js';
 
@@ -8,6 +9,14 @@
   readonly version: number;
 }
 
+/** What all holders say of one budget together, in tokens. */
+interface LedgerSums {
+  claimed: number;
+  settled: number;
+  lost: number;
+  wanted: number;
+}
+
 /** The part of a total after whose spending the holders' own shares count as much as equal ones. */
 const PRIOR_SHARE = 0.1;
 
@@ -15,29 +24,35 @@
 export class Ledger {
   readonly holders = new Map<VmId, HolderRecord>();
 
+  /** The balances of all holders added up: each plan needs them, and holders are many. */
+  private readonly sums = new Map<BudgetId, LedgerSums>();
+
   /** Takes a holder's newest record in. */
   apply(holder: VmId, record: HolderRecord): void {
+    this.add(this.holders.get(holder), -1);
+    this.add(record, 1);
     this.holders.set(holder, record);
   }
 
   /** Forgets everything, before the newest records are read again. */
   clear(): void {
     this.holders.clear();
+    this.sums.clear();
   }
 
   /** Returns what all holders together have spent or may spend. */
   getClaimed(budget: BudgetId): number {
-    return this.sum(budget, 'claimed');
+    return this.getSums(budget).claimed;
   }
 
   /** Returns what all holders have certainly spent. */
   getSettled(budget: BudgetId): number {
-    return this.sum(budget, 'settled');
+    return this.getSums(budget).settled;
   }
 
   /** Returns what ended processes may have spent beyond that. */
   getLost(budget: BudgetId): number {
-    return this.sum(budget, 'lost');
+    return this.getSums(budget).lost;
   }
 
   /** Returns what one holder may still spend of its claims. */
@@ -49,7 +64,7 @@
   /** Returns what holders other than one lack. */
   getWantedByOthers(budget: BudgetId, holder: VmId): number {
     const own = this.holders.get(holder)?.balances.get(budget)?.wanted ?? 0;
-    return this.sum(budget, 'wanted') - own;
+    return this.getSums(budget).wanted - own;
   }
 
   /** Returns the part of all spending that is a holder's; equal parts while little was spent. */
@@ -72,11 +87,17 @@
     return newest;
   }
 
-  private sum(budget: BudgetId, field: 'claimed' | 'settled' | 'lost' | 'wanted'): number {
-    let sum = 0;
-    this.holders.forEach(({ balances }) => {
-      sum += balances.get(budget)?.[field] ?? 0;
+  private getSums(budget: BudgetId): LedgerSums {
+    return getOrCreate(this.sums, budget, () => ({ claimed: 0, settled: 0, lost: 0, wanted: 0 }));
+  }
+
+  private add(record: HolderRecord | undefined, sign: 1 | -1): void {
+    record?.balances.forEach(({ claimed, settled, lost, wanted }, budget) => {
+      const sums = this.getSums(budget);
+      sums.claimed += sign * claimed;
+      sums.settled += sign * settled;
+      sums.lost += sign * lost;
+      sums.wanted += sign * wanted;
     });
-    return sum;
   }
 }
--- a/src/gateway/forward/answerRelay.ts
+++ b/src/gateway/forward/answerRelay.ts
@@ -68,11 +68,6 @@
     return this.lastEventId;
   }
 
-  /** Returns how many events went to the caller. */
-  getEvents(): number {
-    return this.events;
-  }
-
   /** Passes events on as they come; the head goes out with the first one. */
   relay({ message: answer, isSound }: IncomingAnswer, facts: AnswerFacts): Promise<RelayEnd> {
     const splitter = new EventSplitter();
--- a/src/gateway/forward/endpointAgent.ts
+++ b/src/gateway/forward/endpointAgent.ts
@@ -6,16 +6,13 @@
 const IDLE_MS = 4_000; // longer than the gaps between calls to one endpoint at a usual load
 const IDLE_MARGIN_MS = 500; // an endpoint that closes an idle connection may cross with a call on it
 
-interface IdleGuard {
-  readonly onData: () => void;
-}
-
 /**
  * An agent whose idle connections are watched: bytes that arrive on one belong to no call, and a connection
  * that carried them is not used again.
  */
 export class EndpointAgent extends Agent {
-  private readonly guards = new WeakMap<Duplex, IdleGuard>();
+  /** What ends each idle connection that carries bytes. */
+  private readonly guards = new WeakMap<Duplex, () => void>();
 
   constructor(options: AgentOptions = {}) {
     super({ keepAlive: true, scheduling: 'lifo', timeout: IDLE_MS, ...options });
@@ -34,16 +31,16 @@
     const onData = () => {
       socket.destroy();
     };
-    this.guards.set(socket, { onData });
+    this.guards.set(socket, onData);
     socket.on('data', onData);
     return true;
   }
 
   // Node calls this before a kept connection is used again.
   override reuseSocket(socket: Duplex, request: ClientRequest): void {
-    const guard = this.guards.get(socket);
-    if (guard) {
-      socket.off('data', guard.onData);
+    const onData = this.guards.get(socket);
+    if (onData) {
+      socket.off('data', onData);
       this.guards.delete(socket);
     }
     const inherited = Agent.prototype as unknown as {
--- a/src/gateway/gatewayServer.ts
+++ b/src/gateway/gatewayServer.ts
@@ -6,7 +6,8 @@
 import type { TimerService } from '../core/timers.js';
 import { createRefusal, type Refusal } from '../core/codes.js';
 import { createDeferred, getErrorMessage } from '../core/utilities.js';
-import { PEER_PATH, SIGNATURE_HEADER } from '../peers/peerRpc.js';
+import { PEER_PATH } from '../peers/peerRpc.js';
+import { readPeerAnswer, type PeerAnswerer } from '../server/answerPeer.js';
 import { createErrorBody, getErrorStatus } from '../server/errorBody.js';
 import { readBody } from '../server/readBody.js';
 import type { Address, CallerLimits, HeaderCodec } from '../types/gateway.js';
@@ -18,7 +19,7 @@
   readonly handleCall: (call: GatewayCall) => Promise<CallOutcome>;
   /** Returns why the gateway takes no new connections, or `undefined` where it does. */
   readonly getUnreadiness: () => string | undefined;
-  readonly answerPeer: (body: string, signature: string) => Promise<string | undefined>;
+  readonly answerPeer: PeerAnswerer;
 }
 
 /** Options of the server. */
@@ -167,16 +168,11 @@
   }
 
   private async handlePeer(message: IncomingMessage, response: ServerResponse): Promise<void> {
-    const body = await readBody(message, {
-      timers: this.options.timers,
-      bodyBytes: PEER_BODY_BYTES_MAX,
-      bodyTimeoutMs: BODY_TIMEOUT_MS,
-    });
-    const signature = String(message.headers[SIGNATURE_HEADER] ?? '');
-    const answer =
-      body.ok && message.url === PEER_PATH
-        ? await this.options.handlers.answerPeer(Buffer.from(body.val).toString(), signature)
-        : undefined;
+    const { timers, handlers } = this.options;
+    const limits = { timers, bodyBytes: PEER_BODY_BYTES_MAX, bodyTimeoutMs: BODY_TIMEOUT_MS };
+    const answer = await readPeerAnswer(message, limits, async (body, signature) =>
+      message.url === PEER_PATH ? handlers.answerPeer(body, signature) : undefined,
+    );
     response.writeHead(answer === undefined ? 403 : 200, { 'content-type': 'application/json' });
     response.end(answer ?? '{}');
   }
--- a/src/gateway/routeTable.ts
+++ b/src/gateway/routeTable.ts
@@ -1,4 +1,5 @@
 /** Finds the route of a call: the longest path prefix of its host. */
+import { getOrCreate } from '../core/utilities.js';
 import type { Route } from '../types/gateway.js';
 import type { ServiceName } from '../types/ids.js';
 
@@ -8,9 +9,7 @@
 
   constructor(routes: readonly Route[]) {
     routes.forEach((route) => {
-      const prefixes = this.byHost.get(route.host) ?? new Map<string, Route>();
-      prefixes.set(route.prefix, route);
-      this.byHost.set(route.host, prefixes);
+      getOrCreate(this.byHost, route.host, () => new Map()).set(route.prefix, route);
     });
   }
 
--- a/src/server/callerServer.ts
+++ b/src/server/callerServer.ts
@@ -11,7 +11,8 @@
 import type { TimerService } from '../core/timers.js';
 import { codes, createRefusal, type Refusal } from '../core/codes.js';
 import { createDeferred, getErrorMessage } from '../core/utilities.js';
-import { PEER_PATH, SIGNATURE_HEADER } from '../peers/peerRpc.js';
+import { PEER_PATH } from '../peers/peerRpc.js';
+import { readPeerAnswer, type PeerAnswerer } from './answerPeer.js';
 import { createErrorBody, getErrorHeaders, getErrorStatus } from './errorBody.js';
 import { NodeResponse } from './nodeResponse.js';
 import { readBody } from './readBody.js';
@@ -19,7 +20,7 @@
 /** What the server calls for each kind of request. */
 export interface ServerHandlers {
   readonly handleCaller: (exchange: Exchange) => Promise<FilterResult>;
-  readonly answerPeer: (body: string, signature: string) => Promise<string | undefined>;
+  readonly answerPeer: PeerAnswerer;
   /** Returns the models that a key may use, or a refusal. */
   readonly listModels: (authorization: string | undefined) => readonly string[] | Refusal;
   /** Returns why the router is not ready, or `undefined` where it is. */
@@ -161,11 +162,8 @@
   }
 
   private async answerPeer(message: IncomingMessage, response: ServerResponse): Promise<void> {
-    const body = await readBody(message, this.getBodyLimits());
-    const signature = String(message.headers[SIGNATURE_HEADER] ?? '');
-    const answer = body.ok
-      ? await this.options.handlers.answerPeer(Buffer.from(body.val).toString(), signature)
-      : undefined;
+    const { answerPeer } = this.options.handlers;
+    const answer = await readPeerAnswer(message, this.getBodyLimits(), answerPeer);
     send(response, answer === undefined ? 403 : 200, JSON_HEADERS, answer ?? '{}');
   }
 
--- a/tests/gateway/gateway.test.ts
+++ b/tests/gateway/gateway.test.ts
@@ -158,11 +158,8 @@
       sendEvents(message, response, [1]);
       response.end();
     });
-    const statuses: number[] = [];
-    for (let index = 0; index < 5; index += 1) {
-      // Each uses 100 tokens of input and 5 of output; the next one finds them spent.
-      statuses.push((await fleet.call('/a/x', TOKENS)).status);
-    }
+    // Each uses 100 tokens of input and 5 of output; the next one finds them spent.
+    const statuses = await fleet.callInTurn(5, '/a/x', TOKENS);
     expect(statuses).toEqual([200, 200, 200, 402, 402]);
     expect(endpoint.calls.length).toEqual(3);
   },
@@ -183,10 +180,7 @@
       sendEvents(message, response, [1]);
       response.end();
     });
-    const statuses: number[] = [];
-    for (let index = 0; index < 6; index += 1) {
-      statuses.push((await fleet.call('/a/x', TOKENS)).status);
-    }
+    const statuses = await fleet.callInTurn(6, '/a/x', TOKENS);
     expect(statuses).toEqual([502, 502, 200, 200, 200, 402]);
   },
 );
@@ -198,10 +192,7 @@
     const fleet = await GatewayFleet.start(context);
     await fleet.configure([createRoute('/a/')], 400);
     await fleet.addEndpoint('e1', (message, response) => answerWhole(message, response, 'done'));
-    const statuses: number[] = [];
-    for (let index = 0; index < 3; index += 1) {
-      statuses.push((await fleet.call('/a/x', TOKENS)).status);
-    }
+    const statuses = await fleet.callInTurn(3, '/a/x', TOKENS);
     expect(statuses).toEqual([200, 200, 402]);
   },
 );
--- a/tests/properties/escrow.test.ts
+++ b/tests/properties/escrow.test.ts
@@ -155,7 +155,7 @@
       const { lendTokens } = EscrowController.prototype;
       escrow.lendTokens = async (budget, need, want) => {
         const tokens = await lendTokens.call(escrow, budget, need, want);
-        shard.getAccount(budget).allotment.credit(tokens);
+        shard.book.getAccount(budget).allotment.credit(tokens);
         return tokens;
       };
     },
--- a/tests/support/gatewayFleet.ts
+++ b/tests/support/gatewayFleet.ts
@@ -277,6 +277,19 @@
     });
   }
 
+  /** Sends like calls one after another, each when the one before was answered; returns their statuses. */
+  async callInTurn(
+    count: number,
+    path: string,
+    headers: Readonly<Record<string, string>>,
+  ): Promise<number[]> {
+    const statuses: number[] = [];
+    while (statuses.length < count) {
+      statuses.push((await this.call(path, headers)).status);
+    }
+    return statuses;
+  }
+
   /** Returns the status of the readiness question. */
   async getReadiness(): Promise<number> {
     const response = await fetch(`http://127.0.0.1:${this.readinessPort}/ready`);
