Log and count each exchange about prepaid accounts, and the inputs of a refused hold

Callers saw: tokensLent while the totals were hardly claimed. The lines did not tell whether claims collide (contention), or what a vm aims to hold is less than one request (fragmentation). Change: 'accounts synchronized' with conflicts, duration, age of the ledger and outcome; 'tokens not held' with free, target, available and age; counters of appends by outcome, histograms of exchanges and of waits for tokens. No decision changed. Ruled out: lines for exchanges that changed nothing, one each 1.5 s and vm, which are only counted.

--- a/src/core/metrics.ts
+++ b/src/core/metrics.ts
@@ -19,6 +19,12 @@
   readonly tokens: Counter<'kind'>;
   readonly filterSeconds: Histogram<'filter'>;
   readonly firstTokenSeconds: Histogram<'service'>;
+  /** Appends of prepaid accounts by what became of them. */
+  readonly accountAppends: Counter<'outcome'>;
+  /** Exchanges with the store about prepaid accounts, from the first read to the last append. */
+  readonly accountSyncSeconds: Histogram<'outcome'>;
+  /** Time that calls waited for prepaid tokens. */
+  readonly holdSeconds: Histogram<'result'>;
   readonly openRequests: Gauge;
   readonly rulesVersion: Gauge;
 }
@@ -54,6 +60,13 @@
     tokens: counter('tokens_total', 'Tokens billed.', ['kind']),
     filterSeconds: histogram('filter_seconds', 'Time spent in each filter.', ['filter']),
     firstTokenSeconds: histogram('first_token_seconds', 'Time to the first token.', ['service']),
+    accountAppends: counter('account_appends_total', 'Appends of prepaid accounts.', ['outcome']),
+    accountSyncSeconds: histogram('account_sync_seconds', 'Exchanges about prepaid accounts.', [
+      'outcome',
+    ]),
+    holdSeconds: histogram('hold_seconds', 'Time that calls waited for prepaid tokens.', [
+      'result',
+    ]),
     openRequests: gauge('open_requests', 'Requests in flight.'),
     rulesVersion: gauge('rules_version', 'Version of the rules in force.'),
   };
--- a/src/escrow/accountBook.ts
+++ b/src/escrow/accountBook.ts
@@ -3,7 +3,7 @@
 import { getOrCreate } from '../core/utilities.js';
 import type { BudgetId, VmId } from '../types/ids.js';
 import { Account, type AccountChange } from './account.js';
-import { planAllotment, type AllotmentSituation } from './allotmentPlan.js';
+import { getAllotmentTarget, planAllotment, type AllotmentSituation } from './allotmentPlan.js';
 import type { HolderBalance, HolderRecord } from './holderRecord.js';
 import type { Ledger, VersionedTotal } from './ledger.js';
 
@@ -49,6 +49,12 @@
     return this.options.ledger.getTotal(budget, this.options.getTotals().get(budget));
   }
 
+  /** Returns the free tokens that this process aims at. */
+  getTarget(budget: BudgetId): number {
+    const situation = this.getSituation(budget);
+    return situation ? getAllotmentTarget(situation) : 0;
+  }
+
   /** Returns what nobody has claimed, as last read. */
   getAvailable(budget: BudgetId): number {
     return (this.getTotal(budget)?.tokens ?? 0) - this.options.ledger.getClaimed(budget);
--- a/src/escrow/accountShard.ts
+++ b/src/escrow/accountShard.ts
@@ -4,6 +4,7 @@
  * prepaid total whoever is alive or reachable. Tokens are spent only after the claim is known to be stored.
  */
 import type { Logger } from '../core/logging.js';
+import type { Metrics } from '../core/metrics.js';
 import type { TimerService, Unsubscribe } from '../core/timers.js';
 import { getErrorMessage } from '../core/utilities.js';
 import type { BudgetId, Incarnation, Offset, VmId } from '../types/ids.js';
@@ -22,6 +23,7 @@
   readonly topic: Topic;
   readonly timers: TimerService;
   readonly logger: Logger;
+  readonly metrics: Metrics;
   readonly vm: VmId;
   readonly run: Incarnation;
   /** Where peers reach this process, as HOST:PORT. */
@@ -44,6 +46,9 @@
   readonly changes: ReadonlyMap<BudgetId, AccountChange>;
 }
 
+/** How one round of an exchange with the store, or the whole exchange, ended. */
+type SyncOutcome = 'stored' | 'unchanged' | 'conflict' | 'failed';
+
 const CHECK_INTERVAL_MS = 300;
 const REPORT_INTERVAL_MS = 1_000; // others plan by what is settled, and a successor takes the rest as spent; a report is priced
 const SYNC_GAP_MS = 40; // calls to the store are priced; a request can wait so long
@@ -148,6 +153,11 @@
     return this.reach.isAway() || (this.isSyncing && this.reach.getWaitedMs() >= lateMs);
   }
 
+  /** Returns how long ago the last exchange with the store ended, in milliseconds. */
+  getLedgerAgeMs(): number {
+    return this.options.timers.now() - this.syncedAt;
+  }
+
   /** Reads and claims as soon as possible. */
   requestSync(): void {
     const { timers, logger } = this.options;
@@ -249,20 +259,25 @@
 
   /** Reads to the end and appends this process's record, until one append is judged. */
   private async sync(isFinal: boolean): Promise<void> {
+    const startedAt = this.options.timers.now();
+    const ledgerAgeMs = startedAt - this.syncedAt;
+    let outcome: SyncOutcome = 'conflict';
+    let conflicts = 0;
     this.isSyncing = true;
     this.reach.recordCall();
     try {
-      let isDone = false;
-      for (let conflicts = 0; !isDone && conflicts < CONFLICTS_MAX; conflicts += 1) {
+      while (outcome === 'conflict' && conflicts < CONFLICTS_MAX) {
         // Each round reads what the one before collided with.
-        isDone = !(await this.readToEnd()) || (await this.appendIfNeeded(isFinal)) !== 'conflict';
-        if (!isDone) {
+        outcome = await this.readAndAppend(isFinal);
+        if (outcome === 'conflict') {
           await this.backOff(conflicts);
+          conflicts += 1;
         }
       }
     } finally {
       this.isSyncing = false;
       this.syncedAt = this.options.timers.now();
+      this.reportSync(outcome, conflicts, startedAt, ledgerAgeMs);
     }
     if (this.isWanted) {
       this.isWanted = false;
@@ -270,6 +285,36 @@
     }
   }
 
+  private async readAndAppend(isFinal: boolean): Promise<SyncOutcome> {
+    if (!(await this.readToEnd())) {
+      return 'failed';
+    }
+    return isFinal || this.isRecordDue() ? this.appendRecord(isFinal) : 'unchanged';
+  }
+
+  /** Exchanges that changed nothing are frequent and only counted. */
+  private reportSync(
+    outcome: SyncOutcome,
+    conflicts: number,
+    startedAt: number,
+    ledgerAgeMs: number,
+  ): void {
+    const { logger, metrics, timers, topic } = this.options;
+    const durationMs = Math.round(timers.now() - startedAt);
+    metrics.accountSyncSeconds.observe({ outcome }, durationMs / 1_000);
+    if (outcome !== 'unchanged' || conflicts > 0) {
+      logger.info('accounts synchronized', {
+        outcome,
+        conflicts,
+        durationMs,
+        ledgerAgeMs: Math.round(ledgerAgeMs),
+        part: topic.part,
+        offset: this.reader.getOffset(),
+        sequence: this.sequence,
+      });
+    }
+  }
+
   private backOff(conflicts: number): Promise<void> {
     const { timers, random = Math.random } = this.options;
     return timers.sleep(CONFLICT_BACKOFF_MS * random() * (1 + conflicts));
@@ -347,13 +392,8 @@
     this.options.logger.debug('account record dropped', { at: pending.at, reason });
   }
 
-  private appendIfNeeded(isFinal: boolean): Promise<'done' | 'conflict'> {
-    const isNeeded = isFinal || this.isRecordDue();
-    return isNeeded ? this.appendRecord(isFinal) : Promise.resolve('done');
-  }
-
-  private async appendRecord(isFinal: boolean): Promise<'done' | 'conflict'> {
-    const { store, topic, vm } = this.options;
+  private async appendRecord(isFinal: boolean): Promise<SyncOutcome> {
+    const { store, topic, vm, metrics } = this.options;
     const spending = this.book.describeSpending();
     // A record in doubt is sent again as it was: whichever append comes first, only one can be stored.
     this.pending ??= this.createPending(isFinal);
@@ -364,12 +404,13 @@
       value: pending.bytes,
       at: pending.at,
     });
+    metrics.accountAppends.inc({ outcome: appended.ok ? 'stored' : appended.val.kind });
     if (appended.ok) {
       this.reader.applyOwn(vm, pending.record, appended.val);
       this.reported = spending;
       this.confirmPending();
       this.reach.recordSuccess(this.reader.getOffset());
-      return 'done';
+      return 'stored';
     }
     if (appended.val.kind === 'conflict') {
       // The record may itself stand at the end that the store reports; reading on tells.
@@ -379,7 +420,7 @@
       this.revertPending('refused');
     }
     this.reach.recordFailure(this.reader.getOffset(), JSON.stringify(appended.val));
-    return 'done';
+    return 'failed';
   }
 
   private createPending(isFinal: boolean): PendingRecord {
--- a/src/escrow/escrowController.ts
+++ b/src/escrow/escrowController.ts
@@ -1,5 +1,6 @@
 /** Takes tokens out of this process's allotments for requests, and moves them between peers while the store is away. */
 import type { Logger } from '../core/logging.js';
+import type { Metrics } from '../core/metrics.js';
 import type { TimerService } from '../core/timers.js';
 import { createRefusal, type Refusal } from '../core/codes.js';
 import { createDeferred, getErrorMessage, getHash32 } from '../core/utilities.js';
@@ -14,6 +15,7 @@
 export interface EscrowControllerOptions {
   readonly timers: TimerService;
   readonly logger: Logger;
+  readonly metrics: Metrics;
   readonly shards: readonly AccountShard[];
   readonly requestFromPeers: TokenRequest;
   /** Default 250 ms. */
@@ -82,6 +84,18 @@
    * if (result.kind === 'held') result.hold.settle(900);
    */
   async hold(budget: BudgetId, tokens: number): Promise<HoldResult> {
+    const { timers, metrics } = this.options;
+    const startedAt = timers.now();
+    const result = await this.holdHere(budget, tokens);
+    const waitedMs = timers.now() - startedAt;
+    metrics.holdSeconds.observe({ result: result.kind }, waitedMs / 1_000);
+    if (result.kind === 'refused') {
+      this.logRefusal(budget, tokens, waitedMs);
+    }
+    return result;
+  }
+
+  private async holdHere(budget: BudgetId, tokens: number): Promise<HoldResult> {
     const shard = this.getShard(budget);
     const account = shard.book.getAccount(budget);
     const now = this.options.timers.now();
@@ -101,6 +115,22 @@
     return this.refuse(shard, budget, tokens);
   }
 
+  private logRefusal(budget: BudgetId, need: number, waitedMs: number): void {
+    const shard = this.getShard(budget);
+    const account = shard.book.getAccount(budget);
+    this.options.logger.info('tokens not held', {
+      budget,
+      need,
+      waitedMs: Math.round(waitedMs),
+      free: account.allotment.free,
+      freeInAll: account.getFreeInAll(),
+      target: shard.book.getTarget(budget),
+      available: shard.book.getAvailable(budget),
+      ledgerAgeMs: Math.round(shard.getLedgerAgeMs()),
+      isStoreAway: shard.isStoreAway(),
+    });
+  }
+
   /** Takes free tokens out for a peer and returns how many; they count as spent here. */
   async lendTokens(budget: BudgetId, need: number, want: number): Promise<number> {
     const shard = this.getShard(budget);
--- a/src/gateway/gateway.ts
+++ b/src/gateway/gateway.ts
@@ -174,7 +174,8 @@
   }
 
   private createShards(): AccountShard[] {
-    const { timers, logger, deployment, run, platform, accountShards = 1 } = this.options;
+    const { timers, logger, metrics, deployment, run, platform } = this.options;
+    const { accountShards = 1 } = this.options;
     const { vm, peerAddress } = deployment;
     return Array.from(
       { length: accountShards },
@@ -184,6 +185,7 @@
           topic: { name: platform.accountTopic, part },
           timers,
           logger,
+          metrics,
           vm,
           run,
           extensions: new ExtensionClient({ client: this.peerClient, vm, part }),
@@ -206,10 +208,11 @@
   }
 
   private createEscrow(): EscrowController {
-    const { timers, logger } = this.options;
+    const { timers, logger, metrics } = this.options;
     return new EscrowController({
       timers,
       logger,
+      metrics,
       shards: this.shards,
       requestFromPeers: async (budget, need, want) =>
         (await this.transfers.requestTokens(budget, need, want)).tokens,
--- a/tests/gateway/accountShard.test.ts
+++ b/tests/gateway/accountShard.test.ts
@@ -1,6 +1,7 @@
 import { test } from 'node:test';
 import { expect } from 'earl';
 import { createLogger } from '../../src/core/logging.js';
+import { createMetrics } from '../../src/core/metrics.js';
 import { VirtualTimers } from '../../src/core/timers.js';
 import { AccountShard } from '../../src/escrow/accountShard.js';
 import { ExtensionClient } from '../../src/escrow/extensionClient.js';
@@ -23,6 +24,7 @@
     topic: { name: 'accounts', part: 0 },
     timers: process,
     logger: createLogger({ level: 'error' }),
+    metrics: createMetrics(),
     vm: VM,
     run: brandId('run1'),
     extensions: new ExtensionClient({ client, vm: VM, part: 0 }),
--- a/tests/properties/escrowModel.ts
+++ b/tests/properties/escrowModel.ts
@@ -1,6 +1,7 @@
 /** Whole escrow processes on virtual time under random faults, against the one sum that must hold. */
 import fc from 'fast-check';
 import { createLogger } from '../../src/core/logging.js';
+import { createMetrics } from '../../src/core/metrics.js';
 import { VirtualTimers } from '../../src/core/timers.js';
 import { AccountShard } from '../../src/escrow/accountShard.js';
 import { EscrowController } from '../../src/escrow/escrowController.js';
@@ -170,6 +171,7 @@
       topic: TOPIC,
       timers: process,
       logger,
+      metrics: createMetrics(),
       vm: name,
       run: runName,
       extensions,
@@ -190,6 +192,7 @@
     const escrow = new EscrowController({
       timers: process,
       logger,
+      metrics: createMetrics(),
       shards: [shard],
       requestFromPeers: async (budget, need, want) =>
         (await transfers.requestTokens(budget, need, want)).tokens,
