Let a few homes hold the claims on budgets, and take tokens from them

Callers saw: on fleets of 76 and 86 vms half of the calls with tokens refused as tokensLent while nearly all of each budget was unspent. Cause: every vm was a claimant. One conditional append invalidates those of all others, so 492 of 1,008 exchanges gave up after 12 conflicts, half took over 415 ms, and a hold waits 250 ms (contention); and each vm aimed at a 76th of what is kept in hand, less than one request in 1,139 of 1,267 refused holds, so nearly each request needed a claim (fragmentation), and no vm could serve or lend in a partition. Class: a cost a member grows with the number of members, on one serialized resource. Change: the first 9 holders in rendezvous order that are not known to be silent claim; the others set tokens aside at a home by budget.hold and end that by budget.settle, under the id of the hold. What the store accepts decides as before, whoever claims, so a wrong list costs time only; a vm that reaches no home claims itself. Conflicts back off exponentially, first records of others come later, and the newest totals are kept instead of looked for over all holders. Safety: 1,000 interleavings as before, 500 with two homes for four vms, two broken variants of remote holds found. Ruled out: shards of the accounts alone (a vm's part stays smaller than a request), asks without a condition (the same, and every reader would have to fold the history, which the store forgets).

--- a/src/core/metrics.ts
+++ b/src/core/metrics.ts
@@ -25,6 +25,8 @@
   readonly accountSyncSeconds: Histogram<'outcome'>;
   /** Time that calls waited for prepaid tokens. */
   readonly holdSeconds: Histogram<'result'>;
+  /** Holds at the homes of budgets by what became of them. */
+  readonly remoteHolds: Counter<'result'>;
   readonly openRequests: Gauge;
   readonly rulesVersion: Gauge;
 }
@@ -67,6 +69,7 @@
     holdSeconds: histogram('hold_seconds', 'Time that calls waited for prepaid tokens.', [
       'result',
     ]),
+    remoteHolds: counter('remote_holds_total', 'Holds at the homes of budgets.', ['result']),
     openRequests: gauge('open_requests', 'Requests in flight.'),
     rulesVersion: gauge('rules_version', 'Version of the rules in force.'),
   };
--- a/src/escrow/account.ts
+++ b/src/escrow/account.ts
@@ -76,6 +76,11 @@
     return this.claimed - this.opened + this.allotment.free;
   }
 
+  /** Returns whether this process has claimed anything. */
+  hasClaim(): boolean {
+    return this.claimed > 0;
+  }
+
   /** Returns what the vm's processes have certainly spent. */
   getSettled(): number {
     return this.inheritedSettled + this.allotment.spent;
--- a/src/escrow/accountBook.ts
+++ b/src/escrow/accountBook.ts
@@ -5,11 +5,13 @@
 import { Account, type AccountChange } from './account.js';
 import { getAllotmentTarget, planAllotment, type AllotmentSituation } from './allotmentPlan.js';
 import type { HolderBalance, HolderRecord } from './holderRecord.js';
+import type { HomeList } from './homeList.js';
 import type { Ledger, VersionedTotal } from './ledger.js';
 
 /** Options of a book. */
 export interface AccountBookOptions {
   readonly ledger: Ledger;
+  readonly homes: HomeList;
   readonly timers: TimerService;
   readonly vm: VmId;
   /** How much spending claims cover, in milliseconds. */
@@ -84,6 +86,11 @@
     });
   }
 
+  /** Returns whether this process has claims that it may have to extend or return. */
+  hasClaims(): boolean {
+    return [...this.accounts.values()].some((account) => account.hasClaim());
+  }
+
   /** Returns a text that changes when anything is spent. */
   describeSpending(): string {
     return [...this.accounts.values()].map(({ allotment }) => allotment.spent).join(',');
@@ -139,7 +146,7 @@
   }
 
   private getSituation(budget: BudgetId): AllotmentSituation | undefined {
-    const { timers, horizonMs, ledger, vm } = this.options;
+    const { timers, horizonMs, ledger, homes, vm } = this.options;
     const total = this.getTotal(budget);
     if (!total) {
       return undefined;
@@ -155,12 +162,13 @@
       left: total.tokens - ledger.getSettled(budget) - ledger.getLost(budget),
       free: account.getFreeInAll(),
       freeOpened: allotment.free,
+      isHome: homes.isHome(),
       hasWitnesses: ledger.holders.size > 1,
       expected: account.getExpectedSpending(horizonMs * coverage, now),
       coverage,
       expectedSoon: account.getExpectedSpending(WINDOW_MS, now),
       meanHold: allotment.meanHold,
-      share: ledger.getShare(budget, vm, total.tokens),
+      share: ledger.getShare(budget, vm, total.tokens, homes.getCount()),
       needed: Math.max(waiting, lacking),
       wantedByOthers: ledger.getWantedByOthers(budget, vm),
     };
--- a/src/escrow/accountShard.ts
+++ b/src/escrow/accountShard.ts
@@ -12,6 +12,7 @@
 import type { AccountChange } from './account.js';
 import { AccountBook } from './accountBook.js';
 import { encodeHolderRecord, type HolderRecord } from './holderRecord.js';
+import { HomeList } from './homeList.js';
 import { chooseWitnesses, type ExtensionClient } from './extensionClient.js';
 import type { Ledger, VersionedTotal } from './ledger.js';
 import { LedgerReader } from './ledgerReader.js';
@@ -32,6 +33,10 @@
   readonly extensions: ExtensionClient;
   /** How much spending an allotment covers, in milliseconds. */
   readonly horizonMs: number;
+  /** The most vms that claim. Default as in `HomeList`. */
+  readonly homesMax?: number;
+  /** Returns whom to ask while no holder is known. Default none. */
+  readonly getSeeds?: () => readonly VmId[];
   /** Returns the prepaid totals that this process knows. */
   readonly getTotals: () => ReadonlyMap<BudgetId, VersionedTotal>;
   /** In [0, 1). Default `Math.random`. */
@@ -53,13 +58,18 @@
 const REPORT_INTERVAL_MS = 1_000; // others plan by what is settled, and a successor takes the rest as spent; a report is priced
 const SYNC_GAP_MS = 40; // calls to the store are priced; a request can wait so long
 const READ_INTERVAL_MS = 1_500; // an idle holder must hear what others lack
+const OTHERS_READ_INTERVAL_MS = 5_000; // a vm that claims nothing reads who the holders are
 const CONFLICTS_MAX = 12;
-const CONFLICT_BACKOFF_MS = 6; // about one append of another holder
+const CONFLICT_BACKOFF_MIN_MS = 6; // about one append of another holder
+const CONFLICT_BACKOFF_MAX_MS = 400; // room for the first records of a hundred vms that start together
+const FIRST_RECORD_SPREAD_MS = 3_000; // homes go first when all start together; others are listed in time to replace one
 
 /** The accounts of one topic. */
 export class AccountShard {
   readonly ledger: Ledger;
 
+  readonly homes: HomeList;
+
   readonly book: AccountBook;
 
   private readonly reach: StoreReach;
@@ -91,6 +101,9 @@
 
   private syncedAt = 0;
 
+  /** When the first record is stored at the latest, where this vm is no home. */
+  private firstRecordAt = 0;
+
   private reportedAt = 0;
 
   private reported = '';
@@ -99,6 +112,7 @@
 
   constructor(private readonly options: AccountShardOptions) {
     const { store, topic, logger, timers, vm, horizonMs, getTotals } = options;
+    const { homesMax, getSeeds } = options;
     this.reader = new LedgerReader({
       store,
       topic,
@@ -107,8 +121,18 @@
     });
     this.ledger = this.reader.ledger;
     this.reach = new StoreReach(timers, logger);
+    this.homes = new HomeList({
+      ledger: this.ledger,
+      timers,
+      logger,
+      vm,
+      part: topic.part,
+      homesMax,
+      getSeeds,
+    });
     this.book = new AccountBook({
       ledger: this.ledger,
+      homes: this.homes,
       timers,
       vm,
       horizonMs,
@@ -120,6 +144,7 @@
   /** Starts reading and claiming. */
   start(): void {
     const { timers, random = Math.random } = this.options;
+    this.firstRecordAt = timers.now() + FIRST_RECORD_SPREAD_MS * random();
     this.unsubscribe = timers.subscribeEvery(CHECK_INTERVAL_MS * (0.9 + 0.2 * random()), () =>
       this.check(),
     );
@@ -153,6 +178,14 @@
     return this.reach.isAway() || (this.isSyncing && this.reach.getWaitedMs() >= lateMs);
   }
 
+  /** Returns the other homes, those first that hold most of a budget. */
+  getLenders(budget: BudgetId): VmId[] {
+    const { homes, ledger } = this;
+    return homes
+      .getHomesToAsk()
+      .sort((a, b) => ledger.getHeld(budget, b) - ledger.getHeld(budget, a));
+  }
+
   /** Returns how long ago the last exchange with the store ended, in milliseconds. */
   getLedgerAgeMs(): number {
     return this.options.timers.now() - this.syncedAt;
@@ -224,8 +257,10 @@
     if (!this.reach.isRetryDue() || this.isSyncing) {
       return;
     }
-    const isReadDue = timers.now() - this.syncedAt >= READ_INTERVAL_MS;
-    if (isReadDue || this.isRecordDue() || this.book.hasScarceBudget()) {
+    const isHome = this.homes.isHome();
+    const readIntervalMs = isHome ? READ_INTERVAL_MS : OTHERS_READ_INTERVAL_MS;
+    const isReadDue = timers.now() - this.syncedAt >= readIntervalMs;
+    if (isReadDue || this.isRecordDue() || (isHome && this.book.hasScarceBudget())) {
       this.requestSync();
     }
   }
@@ -233,7 +268,7 @@
   /** Returns whether this process's record is to be stored, by what was last read. */
   private isRecordDue(): boolean {
     return (
-      !this.isProven() ||
+      this.isFirstRecordDue() ||
       this.pending !== undefined ||
       this.book.hasChanges() ||
       this.hasOtherWitnesses() ||
@@ -241,9 +276,20 @@
     );
   }
 
+  /** Returns whether this process is to be listed as a holder, if it is not yet. */
+  private isFirstRecordDue(): boolean {
+    if (this.isProven()) {
+      return false;
+    }
+    return this.homes.isHome() || this.options.timers.now() >= this.firstRecordAt;
+  }
+
   /** Returns whether the stored record names witnesses that have ended, or too few. */
   private hasOtherWitnesses(): boolean {
     const { vm } = this.options;
+    if (!this.homes.isHome() && !this.book.hasClaims()) {
+      return false;
+    }
     const stored = this.ledger.holders.get(vm)?.witnesses ?? [];
     const wanted = chooseWitnesses(this.ledger, vm);
     return (
@@ -317,7 +363,8 @@
 
   private backOff(conflicts: number): Promise<void> {
     const { timers, random = Math.random } = this.options;
-    return timers.sleep(CONFLICT_BACKOFF_MS * random() * (1 + conflicts));
+    const longestMs = Math.min(CONFLICT_BACKOFF_MAX_MS, CONFLICT_BACKOFF_MIN_MS * 2 ** conflicts);
+    return timers.sleep(longestMs * random());
   }
 
   /** Returns whether the ledger is current, and what an earlier process left is taken over. */
--- a/src/escrow/allotmentPlan.ts
+++ b/src/escrow/allotmentPlan.ts
@@ -16,6 +16,8 @@
   readonly free: number;
   /** The part of it that is opened. */
   readonly freeOpened: number;
+  /** Whether this holder keeps tokens for calls to come, its own and those of other vms. */
+  readonly isHome: boolean;
   /** Whether there are witnesses, without which all that is claimed is opened. */
   readonly hasWitnesses: boolean;
   /** What this holder will spend within the time that claims cover now if it goes on as it did. */
@@ -55,7 +57,10 @@
 
 /** Returns the free tokens that a holder aims at. */
 export function getAllotmentTarget(situation: AllotmentSituation): number {
-  const { expected, share, coverage } = situation;
+  const { expected, share, coverage, isHome } = situation;
+  if (!isHome) {
+    return 0;
+  }
   const left = Math.max(0, situation.left) * share;
   return Math.ceil(
     Math.min(Math.max(expected, left * LEFT_SHARE_MIN * coverage), left * LEFT_SHARE_MAX),
@@ -67,7 +72,7 @@
  *
  * @example
  * // A waiting request is served though little is left: the need goes before the share.
- * planAllotment({ total: 1_000, claimed: 900, left: 300, free: 0, freeOpened: 0, hasWitnesses: true,
+ * planAllotment({ total: 1_000, claimed: 900, left: 300, free: 0, freeOpened: 0, isHome: true, hasWitnesses: true,
  *   expected: 500, coverage: 1, expectedSoon: 100, meanHold: 50, share: 0.2, needed: 80, wantedByOthers: 0 }).claimed; // 80
  */
 export function planAllotment(situation: AllotmentSituation): AllotmentPlan {
--- a/src/escrow/escrowController.ts
+++ b/src/escrow/escrowController.ts
@@ -7,6 +7,8 @@
 import type { BudgetId } from '../types/ids.js';
 import type { Account } from './account.js';
 import type { AccountShard } from './accountShard.js';
+import { HeldForPeers } from './heldForPeers.js';
+import type { HomeClient } from './homeClient.js';
 
 /** Asks peers for tokens of a budget; returns how many came. */
 export type TokenRequest = (budget: BudgetId, need: number, want: number) => Promise<number>;
@@ -18,6 +20,8 @@
   readonly metrics: Metrics;
   readonly shards: readonly AccountShard[];
   readonly requestFromPeers: TokenRequest;
+  /** Sets tokens aside at the homes of budgets. */
+  readonly homeClient: HomeClient;
   /** Default 250 ms. */
   readonly holdWaitMs?: number;
 }
@@ -54,13 +58,32 @@
   /** Budgets for which peers are being asked. */
   private readonly asking = new Set<BudgetId>();
 
-  constructor(private readonly options: EscrowControllerOptions) {}
+  /** What is set aside here for calls of other vms. */
+  readonly heldForPeers: HeldForPeers;
+
+  constructor(private readonly options: EscrowControllerOptions) {
+    this.heldForPeers = new HeldForPeers({
+      logger: options.logger,
+      isReady: () => this.isProven(),
+      hold: (budget, tokens, waitMs) => this.holdHere(budget, tokens, waitMs),
+    });
+  }
 
   /** Starts every shard. */
   start(): void {
     this.options.shards.forEach((shard) => shard.start());
   }
 
+  /** Takes no further holds of peers; they go to other homes. */
+  startDraining(): void {
+    this.heldForPeers.startDraining();
+  }
+
+  /** Takes no further holds of peers; resolves once those that are open, here and at homes, are settled. */
+  async drain(): Promise<void> {
+    await Promise.all([this.heldForPeers.drain(), this.options.homeClient.drain()]);
+  }
+
   /** Gives back what is free. */
   async stop(): Promise<void> {
     await Promise.all(this.options.shards.map((shard) => shard.stop()));
@@ -86,7 +109,7 @@
   async hold(budget: BudgetId, tokens: number): Promise<HoldResult> {
     const { timers, metrics } = this.options;
     const startedAt = timers.now();
-    const result = await this.holdHere(budget, tokens);
+    const result = (await this.holdAtHome(budget, tokens)) ?? (await this.holdHere(budget, tokens));
     const waitedMs = timers.now() - startedAt;
     metrics.holdSeconds.observe({ result: result.kind }, waitedMs / 1_000);
     if (result.kind === 'refused') {
@@ -95,7 +118,21 @@
     return result;
   }
 
-  private async holdHere(budget: BudgetId, tokens: number): Promise<HoldResult> {
+  /** Returns `undefined` where this vm is a home itself, or where none answers: then this vm claims. */
+  private async holdAtHome(budget: BudgetId, tokens: number): Promise<HoldResult | undefined> {
+    const shard = this.getShard(budget);
+    const { homes } = shard;
+    // A process whose account is not stored yet can't claim.
+    return homes.isHome() && shard.isProven()
+      ? undefined
+      : this.options.homeClient.hold(homes, budget, tokens);
+  }
+
+  private async holdHere(
+    budget: BudgetId,
+    tokens: number,
+    waitMs = this.options.holdWaitMs ?? HOLD_WAIT_MS,
+  ): Promise<HoldResult> {
     const shard = this.getShard(budget);
     const account = shard.book.getAccount(budget);
     const now = this.options.timers.now();
@@ -106,7 +143,7 @@
       account.lacking += tokens;
       return this.refuse(shard, budget, tokens);
     }
-    if (await this.waitForTokens(shard, account, tokens)) {
+    if (await this.waitForTokens(shard, account, tokens, waitMs)) {
       return this.createHold(account, tokens);
     }
     account.allotment.recordStarved(tokens, this.options.timers.now());
@@ -167,7 +204,8 @@
     }
   }
 
-  private getShard(budget: BudgetId): AccountShard {
+  /** Returns the shard of a budget. */
+  getShard(budget: BudgetId): AccountShard {
     const { shards } = this.options;
     return shards[getHash32(budget) % shards.length]!;
   }
@@ -176,8 +214,9 @@
     shard: AccountShard,
     account: Account,
     tokens: number,
+    waitMs: number,
   ): Promise<boolean> {
-    const { timers, holdWaitMs = HOLD_WAIT_MS } = this.options;
+    const { timers } = this.options;
     const granted = createDeferred<boolean>();
     const waiter = { need: tokens, finish: granted.resolve };
     account.allotment.waiters.push(waiter);
@@ -192,7 +231,7 @@
     if (shard.book.getAvailable(account.allotment.budget) < tokens) {
       this.askPeers(account, tokens);
     }
-    const cancel = timers.subscribe(holdWaitMs, () => granted.resolve(false));
+    const cancel = timers.subscribe(waitMs, () => granted.resolve(false));
     const isGranted = await granted.promise;
     cancel();
     cancelExtension();
--- a/src/escrow/ledger.ts
+++ b/src/escrow/ledger.ts
@@ -1,7 +1,7 @@
 /** What the store shows of all holders: the sums that claims are judged by. */
 import { getOrCreate } from '../core/utilities.js';
 import type { BudgetId, VmId } from '../types/ids.js';
-import type { HolderRecord } from './holderRecord.js';
+import type { HolderBalance, HolderRecord } from './holderRecord.js';
 
 /** A prepaid total as of a version of the configuration. */
 export interface VersionedTotal {
@@ -24,6 +24,12 @@
 export class Ledger {
   readonly holders = new Map<VmId, HolderRecord>();
 
+  /** Changes with the set of holders. */
+  generation = 0;
+
+  /** The newest total of each budget that any holder has stated. */
+  private readonly totals = new Map<BudgetId, VersionedTotal>();
+
   /** The balances of all holders added up: each plan needs them, and holders are many. */
   private readonly sums = new Map<BudgetId, LedgerSums>();
 
@@ -31,12 +37,16 @@
   apply(holder: VmId, record: HolderRecord): void {
     this.add(this.holders.get(holder), -1);
     this.add(record, 1);
+    this.generation += this.holders.has(holder) ? 0 : 1;
     this.holders.set(holder, record);
+    record.balances.forEach((balance, budget) => this.applyTotal(budget, balance));
   }
 
   /** Forgets everything, before the newest records are read again. */
   clear(): void {
+    this.generation += 1;
     this.holders.clear();
+    this.totals.clear();
     this.sums.clear();
   }
 
@@ -67,9 +77,8 @@
     return this.getSums(budget).wanted - own;
   }
 
-  /** Returns the part of all spending that is a holder's; equal parts while little was spent. */
-  getShare(budget: BudgetId, holder: VmId, total: number): number {
-    const count = Math.max(1, this.holders.size);
+  /** Returns the part of all spending that is a holder's; equal parts of `count` holders while little was spent. */
+  getShare(budget: BudgetId, holder: VmId, total: number, count: number): number {
     const prior = (total * PRIOR_SHARE) / count;
     const own = this.holders.get(holder)?.balances.get(budget)?.settled ?? 0;
     return (own + prior) / (this.getSettled(budget) + prior * count);
@@ -77,14 +86,14 @@
 
   /** Returns the total by the newest configuration that any holder or the given one knows. */
   getTotal(budget: BudgetId, known: VersionedTotal | undefined): VersionedTotal | undefined {
-    let newest = known;
-    this.holders.forEach(({ balances }) => {
-      const balance = balances.get(budget);
-      if (balance && balance.totalVersion > (newest?.version ?? -1)) {
-        newest = { tokens: balance.total, version: balance.totalVersion };
-      }
-    });
-    return newest;
+    const stated = this.totals.get(budget);
+    return stated && stated.version > (known?.version ?? -1) ? stated : known;
+  }
+
+  private applyTotal(budget: BudgetId, { total, totalVersion }: HolderBalance): void {
+    if (totalVersion > (this.totals.get(budget)?.version ?? -1)) {
+      this.totals.set(budget, { tokens: total, version: totalVersion });
+    }
   }
 
   private getSums(budget: BudgetId): LedgerSums {
--- a/src/gateway/gateway.ts
+++ b/src/gateway/gateway.ts
@@ -9,6 +9,7 @@
 import { AccountShard } from '../escrow/accountShard.js';
 import { EscrowController } from '../escrow/escrowController.js';
 import { ExtensionClient } from '../escrow/extensionClient.js';
+import { HomeClient } from '../escrow/homeClient.js';
 import { ExtensionWitness } from '../escrow/extensionWitness.js';
 import type { VersionedTotal } from '../escrow/ledger.js';
 import { runChain } from '../filters/chain.js';
@@ -155,10 +156,12 @@
     const startedAt = timers.now();
     this.isStopping = true;
     this.server.startClosing();
+    this.escrow.startDraining();
     logger.info('gateway stopping', { openCalls: this.server.getOpenCalls() });
     await timers.sleep(Math.min(STOP_CLOSING_MS, deployment.graceMs / 2));
     const leftMs = deployment.graceMs - STOP_MARGIN_MS - (timers.now() - startedAt);
-    const isDrained = await timers.isDoneWithin(this.server.drain(), leftMs);
+    const drained = this.server.drain().then(() => this.escrow.drain());
+    const isDrained = await timers.isDoneWithin(drained, leftMs);
     const settledMs = deployment.graceMs - STOP_MARGIN_MS / 2 - (timers.now() - startedAt);
     const isSettled = await timers.isDoneWithin(this.escrow.stop(), Math.max(1, settledMs));
     this.peerSync.stop();
@@ -192,6 +195,7 @@
           address: `${peerAddress.host}:${peerAddress.port}`,
           horizonMs: this.options.horizonMs ?? HORIZON_MS,
           getTotals: () => this.totals,
+          getSeeds: () => this.getSeeds(),
           random: this.getRandom(),
         }),
     );
@@ -200,7 +204,7 @@
   private createTransfers(): TransferController {
     return new TransferController({
       client: this.peerClient,
-      getPeers: (budget) => this.getLenders(budget),
+      getPeers: (budget) => this.escrow.getShard(budget).getLenders(budget),
       lendTokens: (budget, need, want) => this.escrow.lendTokens(budget, need, want),
       receiveTokens: () => {},
       timeoutMs: TRANSFER_TIMEOUT_MS,
@@ -214,6 +218,13 @@
       logger,
       metrics,
       shards: this.shards,
+      homeClient: new HomeClient({
+        client: this.peerClient,
+        timers,
+        logger,
+        metrics,
+        run: this.options.run,
+      }),
       requestFromPeers: async (budget, need, want) =>
         (await this.transfers.requestTokens(budget, need, want)).tokens,
     });
@@ -298,6 +309,8 @@
     const witness = new ExtensionWitness(this.options.run);
     return new PeerServer(this.options.sharedKey, {
       'budget.transfer': (request) => this.transfers.lend(request),
+      'budget.hold': (request) => this.escrow.heldForPeers.hold(request),
+      'budget.settle': (settlement) => this.escrow.heldForPeers.settle(settlement),
       'escrow.extend': (request) => witness.record(request),
       'escrow.extended': (query) => witness.answer(query),
       'gateway.state': (request) => this.peerSync.createAnswer(request),
@@ -363,24 +376,18 @@
 
   /** Returns the other gateways: those whose accounts are known, else those of the settings. */
   private getPeers(): VmId[] {
-    const { vm, seeds, peerAddress } = this.options.deployment;
+    const { vm } = this.options.deployment;
     const holders = [...this.shards[0]!.ledger.holders.keys()].filter((holder) => holder !== vm);
-    if (holders.length > 0) {
-      return holders;
-    }
+    return holders.length > 0 ? holders : this.getSeeds();
+  }
+
+  private getSeeds(): VmId[] {
+    const { seeds, peerAddress } = this.options.deployment;
     return seeds
       .filter(({ host }) => host !== peerAddress.host)
       .map(({ host, port }) => brandId(`${host}:${port}`));
   }
 
-  /** Returns the other gateways, those first that hold most of a budget. */
-  private getLenders(budget: BudgetId): VmId[] {
-    const ledgers = this.shards.map(({ ledger }) => ledger);
-    const getHeld = (vm: VmId) =>
-      ledgers.reduce((sum, ledger) => sum + ledger.getHeld(budget, vm), 0);
-    return this.getPeers().sort((a, b) => getHeld(b) - getHeld(a));
-  }
-
   /** A peer known only from the settings is named by its address. */
   private getPeerAddress(peer: VmId): string | undefined {
     return this.shards[0]!.ledger.holders.get(peer)?.address ?? peer;
--- a/src/types/peers.ts
+++ b/src/types/peers.ts
@@ -1,4 +1,5 @@
 /** The messages between routers, carried by JSON-RPC 2.0. */
+import type { CodeName } from '../core/codes.js';
 import type { EndpointEntry } from './gateway.js';
 import type { BudgetId, Incarnation, RulesVersion, VmId } from './ids.js';
 import type { EditEntry } from './records.js';
@@ -39,6 +40,33 @@
   readonly tokens: number;
 }
 
+/** Asks a home to set tokens aside; a repeat of the id gets the same answer. */
+export interface PeerHoldRequest {
+  readonly hold: string;
+  readonly budget: BudgetId;
+  readonly tokens: number;
+  /** How long the home may wait for the store, in milliseconds. */
+  readonly waitMs: number;
+}
+
+/** Whether a home set tokens aside. */
+export type PeerHoldAnswer =
+  | { readonly kind: 'held' }
+  | {
+      readonly kind: 'refused';
+      readonly name: CodeName;
+      readonly detail?: string | undefined;
+      readonly retryAfterMs?: number | undefined;
+    }
+  /** The peer can't judge, or is stopping. */
+  | { readonly kind: 'unavailable' };
+
+/** Ends a hold at a home with the tokens that were used. A repeat changes nothing. */
+export interface PeerSettlement {
+  readonly hold: string;
+  readonly used: number;
+}
+
 /** Asks for what changed after a version. */
 export interface RulesRequest {
   readonly after: RulesVersion;
@@ -92,6 +120,8 @@
   'peer.probe': { params: ProbeMessage; result: ProbeMessage };
   'budget.transfer': { params: TransferRequest; result: TransferAnswer };
   'budget.give': { params: GiftRequest; result: TransferAnswer };
+  'budget.hold': { params: PeerHoldRequest; result: PeerHoldAnswer };
+  'budget.settle': { params: PeerSettlement; result: { isKnown: boolean } };
   'gateway.state': { params: GatewayStateRequest; result: GatewayStateAnswer };
   'escrow.extend': { params: ExtensionRequest; result: ExtensionAnswer };
   'escrow.extended': { params: ExtensionQuery; result: ExtensionAnswer };
--- a/tests/gateway/grownFleet.test.ts
+++ b/tests/gateway/grownFleet.test.ts
@@ -5,6 +5,7 @@
 const TOTAL = 1_000_000;
 const BUDGETS = 4;
 const APPEND_MS = 4;
+const STARTING_MS = 16_000; // how long before callers come the platform starts so many vms
 const CALL_INTERVAL_MS = 20; // 12 calls a second on each budget
 /** Calls of which one may be refused though its budget covers it. */
 const CALLS_PER_REFUSAL = 500;
@@ -24,7 +25,14 @@
 }
 
 function createFleet(vms: number): EscrowModel {
-  return new EscrowModel({ seed: 1, total: TOTAL, vms, budgets: BUDGETS, appendMs: APPEND_MS });
+  return new EscrowModel({
+    seed: 1,
+    total: TOTAL,
+    vms,
+    budgets: BUDGETS,
+    appendMs: APPEND_MS,
+    startingMs: STARTING_MS,
+  });
 }
 
 function getAllowedRefusals({ served, refused }: EscrowModel): number {
--- a/tests/properties/escrow.test.ts
+++ b/tests/properties/escrow.test.ts
@@ -12,11 +12,12 @@
   runs: number,
   seed: number,
   mutate?: EscrowMutation,
-  shrink = true,
+  options: { readonly shrink?: boolean; readonly homesMax?: number } = {},
 ): Promise<string> {
+  const { shrink = true, homesMax } = options;
   const details = await fc.check(
     fc.asyncProperty(escrowEvents, async (events) => {
-      const wrong = await new EscrowModel({ seed, mutate }).play(events);
+      const wrong = await new EscrowModel({ seed, mutate, homesMax }).play(events);
       if (wrong !== undefined) {
         throw new Error(wrong);
       }
@@ -32,6 +33,44 @@
   expect(await findOverspend(1_000, SEED)).toEqual('');
 });
 
+test('no budget is overspent over 500 interleavings with two homes that hold tokens for two other vms', async () => {
+  expect(await findOverspend(500, SEED, undefined, { homesMax: 2 })).toEqual('');
+});
+
+const remoteMutants: readonly { readonly name: string; readonly mutate: EscrowMutation }[] = [
+  {
+    name: 'a hold whose answer did not come counts as held',
+    mutate: ({ client }) => {
+      const call = client.call.bind(client);
+      client.call = (peer, method, params, timeoutMs) =>
+        call(peer, method, params, timeoutMs).catch((error: unknown) => {
+          if (method === 'budget.hold') {
+            return { kind: 'held' };
+          }
+          throw error;
+        });
+    },
+  },
+  {
+    name: 'a home frees what it holds for a peer before the peer settles',
+    mutate: ({ escrow }) => {
+      const { heldForPeers } = escrow;
+      const hold = heldForPeers.hold.bind(heldForPeers);
+      heldForPeers.hold = async (request) => {
+        const answer = await hold(request);
+        heldForPeers.settle({ hold: request.hold, used: 0 });
+        return answer;
+      };
+    },
+  },
+];
+
+remoteMutants.forEach(({ name, mutate }) => {
+  test(`the interleavings with two homes find that ${name}`, async () => {
+    expect(await findOverspend(600, SEED, mutate, { shrink: false, homesMax: 2 })).not.toEqual('');
+  });
+});
+
 /** Requests of one vm, one after another. */
 function sendRequests(vm: number, count: number, tokens: number): EscrowEvent[] {
   return Array.from({ length: count }, () => [
@@ -166,7 +205,7 @@
 
 mutants.forEach(({ name, mutate }) => {
   test(`the interleavings find that ${name}`, async () => {
-    expect(await findOverspend(600, SEED, mutate, false)).not.toEqual('');
+    expect(await findOverspend(600, SEED, mutate, { shrink: false })).not.toEqual('');
   });
 });
 
--- a/tests/properties/escrowModel.ts
+++ b/tests/properties/escrowModel.ts
@@ -7,6 +7,7 @@
 import { EscrowController } from '../../src/escrow/escrowController.js';
 import { ExtensionClient } from '../../src/escrow/extensionClient.js';
 import type { VersionedTotal } from '../../src/escrow/ledger.js';
+import { HomeClient } from '../../src/escrow/homeClient.js';
 import { ExtensionWitness } from '../../src/escrow/extensionWitness.js';
 import { TransferController } from '../../src/controllers/transferController.js';
 import { brandId, type BudgetId, type Incarnation, type VmId } from '../../src/types/ids.js';
@@ -57,6 +58,7 @@
   readonly escrow: EscrowController;
   readonly extensions: ExtensionClient;
   readonly store: FakeStore;
+  readonly client: FakePeerClient;
 }
 
 /** What a model is made of. */
@@ -69,13 +71,17 @@
   readonly vms?: number;
   /** Default 1. */
   readonly budgets?: number;
+  /** The most vms that claim. Default as in the code. */
+  readonly homesMax?: number;
+  /** How long processes run before the first event. Default 3,500: each has read the others' records by then. */
+  readonly startingMs?: number;
   /** How long the store takes for one append; it takes them one after another. Default 0. */
   readonly appendMs?: number;
 }
 
 const VMS = 4;
 const DEFAULT_TOTAL = 9_000;
-const STARTING_MS = 3_500; // each process has read the others' records by then
+const STARTING_MS = 3_500;
 const TOPIC = { name: 'accounts', part: 0 };
 const logger = createLogger({ level: 'error' });
 
@@ -126,7 +132,7 @@
   /** Plays events; returns what is wrong, if anything is. */
   async play(events: readonly EscrowEvent[]): Promise<string | undefined> {
     this.names.forEach((_, vm) => this.start(vm));
-    await this.timers.advance(STARTING_MS);
+    await this.timers.advance(this.options.startingMs ?? STARTING_MS);
     for (let index = 0; index < events.length; index += 1) {
       // Events follow one another in time.
       await this.apply(events[index]!);
@@ -202,6 +208,7 @@
     const name = getName(vm);
     const runName: Incarnation = brandId(`${name}-${this.starts}`);
     const process = new PausableTimers(this.timers);
+    const metrics = createMetrics();
     const client = new FakePeerClient(this.network, name, process);
     const extensions = new ExtensionClient({ client, vm: name, part: 0 });
     let state = this.options.seed + this.starts;
@@ -215,19 +222,20 @@
       topic: TOPIC,
       timers: process,
       logger,
-      metrics: createMetrics(),
+      metrics,
       vm: name,
       run: runName,
       extensions,
       address: name,
       horizonMs: 8_500,
+      homesMax: this.options.homesMax,
       getTotals: () => this.getTotals(),
       random,
     });
     const parts = {} as { escrow: EscrowController };
     const transfers = new TransferController({
       client,
-      getPeers: () => this.names.filter((peer) => peer !== name),
+      getPeers: (budget) => shard.getLenders(budget),
       lendTokens: (budget, need, want) => parts.escrow.lendTokens(budget, need, want),
       receiveTokens: () => {},
       timeoutMs: 100,
@@ -235,8 +243,9 @@
     const escrow = new EscrowController({
       timers: process,
       logger,
-      metrics: createMetrics(),
+      metrics,
       shards: [shard],
+      homeClient: new HomeClient({ client, timers: process, logger, metrics, run: runName }),
       requestFromPeers: async (budget, need, want) =>
         (await transfers.requestTokens(budget, need, want)).tokens,
     });
@@ -247,11 +256,13 @@
       isAlive: true,
       handlers: {
         'budget.transfer': (request) => transfers.lend(request),
+        'budget.hold': (request) => escrow.heldForPeers.hold(request),
+        'budget.settle': (settlement) => escrow.heldForPeers.settle(settlement),
         'escrow.extend': (request) => witness.record(request),
         'escrow.extended': (query) => witness.answer(query),
       },
     });
-    const run: EscrowRun = { process, shard, escrow, extensions, store };
+    const run: EscrowRun = { process, shard, escrow, extensions, store, client };
     this.options.mutate?.(run);
     this.runs[vm] = run;
     escrow.start();
--- a/tests/support/fakeStore.ts
+++ b/tests/support/fakeStore.ts
@@ -32,16 +32,18 @@
     private readonly appendMs = 0,
   ) {}
 
-  /** Waits until it is an append's turn. */
-  async takeTurn({ name, part }: Topic): Promise<void> {
-    if (this.appendMs === 0) {
-      return;
+  /** Appends in turn; one whose condition does not hold when it comes is refused at once. */
+  async appendInTurn(options: KeyedAppendOptions): Promise<Result<Offset, StoreFailure>> {
+    const { name, part } = options.topic;
+    const isPossible = this.getRecords(options.topic).length === options.at;
+    if (this.appendMs > 0 && isPossible) {
+      const key = `${name}/${part}`;
+      const now = this.timers.now();
+      const doneAt = Math.max(now, this.busyUntil.get(key) ?? 0) + this.appendMs;
+      this.busyUntil.set(key, doneAt);
+      await this.timers.sleep(doneAt - now);
     }
-    const key = `${name}/${part}`;
-    const now = this.timers.now();
-    const doneAt = Math.max(now, this.busyUntil.get(key) ?? 0) + this.appendMs;
-    this.busyUntil.set(key, doneAt);
-    await this.timers.sleep(doneAt - now);
+    return this.append(options);
   }
 
   getRecords({ name, part }: Topic): KeyedRecord[] {
@@ -134,10 +136,7 @@
     }
     const isLost = faults.lostAnswers > 0;
     faults.lostAnswers -= isLost ? 1 : 0;
-    const result = await this.call(async () => {
-      await server.takeTurn(options.topic);
-      return server.append(options);
-    });
+    const result = await this.call(() => server.appendInTurn(options));
     return isLost ? this.timeOut() : result;
   }
 
