Let a vm have sixteen calls open at one peer

Cause: four connections for each peer. A hold may wait 180 ms at a home for the store, so the fifth one of a burst waits for a connection and uses up its time there. Class: head-of-line blocking by calls that wait on purpose. Evidence: the lines 'hold not answered' name one vm and one home while the home goes on lending to others; the test with 12 waiting holds fails before (none of 13 answered in 2 s) and passes now. Ruled out: a slow home (it answers others within milliseconds in the same span).

--- a/src/peers/peerRpc.ts
+++ b/src/peers/peerRpc.ts
@@ -16,6 +16,7 @@
 export const SIGNATURE_HEADER = 'x-shallotrock-signature';
 
 const DEFAULT_TIMEOUT_MS = 500;
+const CONNECTIONS_MAX = 16; // a burst of holds that each wait at one home; a home has descriptors for 200 such vms
 
 /** Signs the body of a message. */
 export function getSignature(sharedKey: string, body: string): string {
@@ -39,7 +40,7 @@
 
 /** Calls peers over HTTP. A call that times out leaves its connection. */
 export class HttpPeerClient extends PeerClient {
-  private readonly agent = new Agent({ keepAlive: true, maxSockets: 4 });
+  private readonly agent = new Agent({ keepAlive: true, maxSockets: CONNECTIONS_MAX });
 
   private nextId = 0;
 
