Split the delays after collisions from the shard, and give back claims whose record is in doubt at a stop

Cause: accountShard.ts had grown by the counters of collisions; and a vm whose first claim has no known outcome counted as one without claims when it stops. No further change of decisions.

--- a/src/escrow/accountShard.ts
+++ b/src/escrow/accountShard.ts
@@ -12,6 +12,7 @@
 import type { AccountChange } from './account.js';
 import { AccountBook } from './accountBook.js';
 import { encodeHolderRecord, type HolderRecord } from './holderRecord.js';
+import { AppendBackoff } from './appendBackoff.js';
 import { HomeList } from './homeList.js';
 import { chooseWitnesses, type ExtensionClient } from './extensionClient.js';
 import type { Ledger, VersionedTotal } from './ledger.js';
@@ -60,9 +61,7 @@
 const READ_INTERVAL_MS = 1_500; // an idle holder must hear what others lack
 const OTHERS_READ_INTERVAL_MS = 5_000; // a vm that claims nothing reads who the holders are
 const CONFLICTS_MAX = 12;
-const CONFLICT_BACKOFF_MS = 6; // about one append of another holder
 const FIRST_RECORD_SPREAD_MS = 8_000; // two hundred vms that start together append in turn; homes go first
-const FIRST_RECORD_BACKOFF_MAX_MS = 5_000; // room for two hundred reads and appends
 
 /** The accounts of one topic. */
 export class AccountShard {
@@ -76,6 +75,8 @@
 
   private readonly reader: LedgerReader;
 
+  private readonly backoff: AppendBackoff;
+
   private pending: PendingRecord | undefined;
 
   private sequence = 0;
@@ -99,9 +100,6 @@
 
   private isScheduled = false;
 
-  /** Conflicts since the last record was stored, over all exchanges. */
-  private collisions = 0;
-
   private syncedAt = 0;
 
   /** When the first record is stored at the latest, where this vm is no home. */
@@ -115,7 +113,7 @@
 
   constructor(private readonly options: AccountShardOptions) {
     const { store, topic, logger, timers, vm, horizonMs, getTotals } = options;
-    const { homesMax, getSeeds } = options;
+    const { homesMax, getSeeds, random = Math.random } = options;
     this.reader = new LedgerReader({
       store,
       topic,
@@ -142,6 +140,12 @@
       getTotals,
       getReachedMs: () => this.reach.getReachedMs(),
     });
+    this.backoff = new AppendBackoff({
+      timers,
+      random,
+      // Every process stores a first record; after that only homes append.
+      getContenders: () => (this.isProven() ? this.homes.getCount() : undefined),
+    });
   }
 
   /** Starts reading and claiming. */
@@ -162,7 +166,7 @@
     // Two syncs at a time would append over each other.
     await this.syncing;
     // The last records of many vms that stop in turn would collide with the homes' claims.
-    if (this.isProven() && this.book.hasClaims()) {
+    if (this.isProven() && (this.pending !== undefined || this.book.hasClaims())) {
       await this.sync(true);
     }
   }
@@ -320,7 +324,7 @@
         // Each round reads what the one before collided with.
         outcome = await this.readAndAppend(isFinal);
         if (outcome === 'conflict') {
-          await this.backOff();
+          await this.backoff.wait();
           conflicts += 1;
         }
       }
@@ -365,17 +369,6 @@
     }
   }
 
-  /** Claims wait at most as long as the homes need for one append each; how many vms start together is not known. */
-  private backOff(): Promise<void> {
-    const { timers, random = Math.random } = this.options;
-    const longestMs = this.isProven()
-      ? CONFLICT_BACKOFF_MS * this.homes.getCount()
-      : FIRST_RECORD_BACKOFF_MAX_MS;
-    const delayMs = CONFLICT_BACKOFF_MS * 2 ** this.collisions;
-    this.collisions += 1;
-    return timers.sleep(Math.min(delayMs, longestMs) * random());
-  }
-
   /** Returns whether the ledger is current, and what an earlier process left is taken over. */
   private async readToEnd(): Promise<boolean> {
     const end = await this.reader.readToEnd();
@@ -434,7 +427,7 @@
     }
     this.pending = undefined;
     this.sequence = pending.record.sequence;
-    this.collisions = 0;
+    this.backoff.reset();
     this.reportedAt = this.options.timers.now();
     this.book.confirm(pending.changes);
   }
