Refuse the like of an unmet need at once only where the store has too little

Callers saw: in a flood, refusals within 10 to 70 ms for up to a second after one hold had waited too long. Cause: a hold that was not met in its wait counted as proof that the balance is short, also where the store had plenty and the claim was only slow. Change: it counts where the store is away or has less than the need. Ruled out: none.

--- a/src/escrow/escrowController.ts
+++ b/src/escrow/escrowController.ts
@@ -146,7 +146,10 @@
     if (await this.waitForTokens(shard, account, tokens, waitMs)) {
       return this.createHold(account, tokens);
     }
-    account.allotment.recordStarved(tokens, this.options.timers.now());
+    // Where the store has enough the claim was only slow, and the next call may get it.
+    if (shard.isStoreAway() || shard.book.getAvailable(budget) < tokens) {
+      account.allotment.recordStarved(tokens, this.options.timers.now());
+    }
     account.lacking += tokens;
     shard.requestSync();
     return this.refuse(shard, budget, tokens);
