Take six homes in a fleet of ten vms or more

Callers saw: in a flood from rest claims took longer than the 180 ms that a home may let a vm wait. Cause: nine homes that all claim collide as nine claimants do. Change: six homes; in a fleet of up to nine each vm stays one, so that one that is cut off from all others serves what it claimed. Ruled out: fewer than six, since each serves the holds of more vms with a third of a core (the busiest vm used 0.11 of 0.324 with nine).

--- a/src/escrow/homeList.ts
+++ b/src/escrow/homeList.ts
@@ -17,13 +17,15 @@
   readonly vm: VmId;
   /** The part of the accounts. */
   readonly part: number;
-  /** Default 9. */
+  /** Default 6, or all of a fleet of at most 9. */
   readonly homesMax?: number;
   /** Returns whom to ask while no holder is known. Default none. */
   readonly getSeeds?: () => readonly VmId[];
 }
 
-const HOMES_MAX = 9; // the most claimants that one partition of 250 appends a second serves with few conflicts
+/** In a fleet of so many vms each is a home, so that one that is cut off from all others still serves what it claimed. */
+const SMALL_FLEET_MAX = 9;
+const HOMES_MAX = 6; // more of them collide too often in a flood; fewer lack processor time for the others' holds
 const DOWN_MIN_MS = 1_000;
 const DOWN_MAX_MS = 16_000; // a vm that is gone for good is asked seldom, one that is back claims soon
 
@@ -84,9 +86,10 @@
 
   /** Returns the first vms in rendezvous order that are not known to be silent. */
   private getHomes(): VmId[] {
-    const { homesMax = HOMES_MAX } = this.options;
     const homes: VmId[] = [];
     const order = this.getOrder();
+    const ownMax = order.length <= SMALL_FLEET_MAX ? SMALL_FLEET_MAX : HOMES_MAX;
+    const { homesMax = ownMax } = this.options;
     for (let index = 0; index < order.length && homes.length < homesMax; index += 1) {
       if (!this.isSilent(order[index]!)) {
         homes.push(order[index]!);
--- a/tests/gateway/grownFleet.test.ts
+++ b/tests/gateway/grownFleet.test.ts
@@ -71,3 +71,28 @@
   expect(await fleet.play(events)).toEqual(undefined);
   expect(fleet.refused).toBeLessThanOrEqual(getAllowedRefusals(fleet));
 });
+
+[9, 76].forEach((vms) => {
+  test(`${vms} vms at rest that are flooded refuse no tokens that nobody has spent`, async () => {
+    const fleet = new EscrowModel({
+      seed: 1,
+      total: TOTAL,
+      vms,
+      budgets: 24,
+      appendMs: APPEND_MS,
+      startingMs: STARTING_MS,
+    });
+    const calls = Array.from({ length: 1_000 }, (_, index): EscrowEvent[] => [
+      {
+        kind: 'request',
+        vm: (index * 31) % vms,
+        budget: (index * 7) % 24,
+        tokens: index % 7 === 0 ? 4_500 : 1_200,
+        runMs: 3_000,
+      },
+      { kind: 'wait', forMs: 2 },
+    ]);
+    expect(await fleet.play(calls.flat())).toEqual(undefined);
+    expect(fleet.refused).toBeLessThanOrEqual(getAllowedRefusals(fleet));
+  });
+});
