Let the scripts of deaths after extensions keep most of a claim unopened

Cause: since demand counts when calls hold, five calls before the cut open nearly all that is claimed, so the variants had little to overspend, less than the one request of 400 tokens that ended the script, and loans of the other vms hid the rest. Change: one call and a pause before the cut, small requests to the balance's end after it, ten instead of 30 calls past the store in the second script. The checks are the same and as strict: the sound code must hold, each variant must overspend. Ruled out: a fault in the code, since the 1,500 interleavings hold and find their own five variants.

--- a/tests/properties/escrow.test.ts
+++ b/tests/properties/escrow.test.ts
@@ -79,11 +79,15 @@
   ]).flat();
 }
 
-const drain = [1, 2, 3, 1, 2, 3].flatMap((vm) => sendRequests(vm, 8, 400));
+/** Small requests to the end of the balance: large ones do not fit into what a broken variant overspends. */
+const drain = [1, 2, 3, 1, 2, 3, 1, 2, 3].flatMap((vm) => sendRequests(vm, 64, 50));
+
+/** Little demand, so that most of what a vm has claimed is not opened when it loses the store. */
+const warmUp: readonly EscrowEvent[] = [...sendRequests(0, 1, 100), { kind: 'wait', forMs: 3_000 }];
 
 /** A vm spends past the store, dies, and its tokens must not come back. */
 const deathAfterExtension: readonly EscrowEvent[] = [
-  ...sendRequests(0, 5, 100),
+  ...warmUp,
   { kind: 'cutStore', vm: 0, all: false },
   ...sendRequests(0, 30, 100),
   { kind: 'kill', vm: 0, all: false },
@@ -93,11 +97,11 @@
 
 /** The same, with one witness that is out of the successor's reach. */
 const deathAfterHiddenExtension: readonly EscrowEvent[] = [
-  ...sendRequests(0, 5, 100),
+  ...warmUp,
   { kind: 'cutStore', vm: 0, all: false },
   { kind: 'cutPeers', vm: 0, other: 2 },
   { kind: 'cutPeers', vm: 0, other: 3 },
-  ...sendRequests(0, 30, 100),
+  ...sendRequests(0, 10, 100),
   { kind: 'healPeers' },
   { kind: 'cutPeers', vm: 0, other: 1 },
   { kind: 'kill', vm: 0, all: false },
