--- a/tests/properties/escrow.test.ts
+++ b/tests/properties/escrow.test.ts
@@ -83,11 +83,11 @@
 const drain = [1, 2, 3, 1, 2, 3, 1, 2, 3].flatMap((vm) => sendRequests(vm, 64, 50));
 
 /** Little demand, so that most of what a vm has claimed is not opened when it loses the store. */
-const warmUp: readonly EscrowEvent[] = [...sendRequests(0, 1, 100), { kind: 'wait', forMs: 3_000 }];
+const lowDemand: readonly EscrowEvent[] = [...sendRequests(0, 1, 100), { kind: 'wait', forMs: 3_000 }];
 
 /** A vm spends past the store, dies, and its tokens must not come back. */
 const deathAfterExtension: readonly EscrowEvent[] = [
-  ...warmUp,
+  ...lowDemand,
   { kind: 'cutStore', vm: 0, all: false },
   ...sendRequests(0, 30, 100),
   { kind: 'kill', vm: 0, all: false },
@@ -97,7 +97,7 @@
 
 /** The same, with one witness that is out of the successor's reach. */
 const deathAfterHiddenExtension: readonly EscrowEvent[] = [
-  ...warmUp,
+  ...lowDemand,
   { kind: 'cutStore', vm: 0, all: false },
   { kind: 'cutPeers', vm: 0, other: 2 },
   { kind: 'cutPeers', vm: 0, other: 3 },
