--- a/tests/properties/escrow.test.ts
+++ b/tests/properties/escrow.test.ts
@@ -83,7 +83,10 @@
 const drain = [1, 2, 3, 1, 2, 3, 1, 2, 3].flatMap((vm) => sendRequests(vm, 64, 50));
 
 /** Little demand, so that most of what a vm has claimed is not opened when it loses the store. */
-const lowDemand: readonly EscrowEvent[] = [...sendRequests(0, 1, 100), { kind: 'wait', forMs: 3_000 }];
+const lowDemand: readonly EscrowEvent[] = [
+  ...sendRequests(0, 1, 100),
+  { kind: 'wait', forMs: 3_000 },
+];
 
 /** A vm spends past the store, dies, and its tokens must not come back. */
 const deathAfterExtension: readonly EscrowEvent[] = [
