Read the endpoints' topic once in a quarter of the time in which a leaving one must be known

Cause: the follower asked again as soon as a read ended, and 66 engines that write every 1.2 s end each read at once, on each vm.

--- a/src/gateway/gateway.ts
+++ b/src/gateway/gateway.ts
@@ -73,6 +73,8 @@
 const OUTAGE_GRACE_MS = 2_000; // entries that lapsed with the store are back within this time
 const STOP_CLOSING_MS = 2_600; // after two missed questions; a longer call that comes later could not end in the grace
 const STOP_MARGIN_MS = 500;
+const CONFIG_WAIT_MARGIN_MS = 1_200; // the store client's own timeout, and the read after it
+const ENDPOINT_READS_IN_LEAVE = 4; // a leaving endpoint is known of in a quarter of the time that it grants
 const TRANSFER_TIMEOUT_MS = 100; // a caller waits 250 ms for tokens, and the next peer may have some
 
 /** One gateway process. */
@@ -231,12 +233,13 @@
   }
 
   private createConfigFollower(): KeyedFollower {
-    const { platform, timers, logger } = this.options;
+    const { platform, timers, logger, deployment } = this.options;
     return new KeyedFollower({
       store: platform.store,
       topic: platform.configTopic,
       timers,
       logger,
+      waitMs: Math.max(CONFIG_WAIT_MARGIN_MS, deployment.silenceMs - CONFIG_WAIT_MARGIN_MS),
       onListed: () => {},
       onRecord: ({ key, value }) => {
         if (key === platform.configKey && value) {
@@ -247,12 +250,13 @@
   }
 
   private createEndpointFollower(): KeyedFollower {
-    const { platform, timers, logger } = this.options;
+    const { platform, timers, logger, deployment } = this.options;
     return new KeyedFollower({
       store: platform.store,
       topic: platform.endpointTopic,
       timers,
       logger,
+      gapMs: deployment.leaveMs / ENDPOINT_READS_IN_LEAVE,
       onListed: (keys, isAfterOutage) =>
         this.directory.retain(keys, isAfterOutage ? OUTAGE_GRACE_MS : 0),
       onRecord: (record) => this.applyEndpointRecord(record),
--- a/src/store/keyedFollower.ts
+++ b/src/store/keyedFollower.ts
@@ -16,6 +16,11 @@
   readonly logger: Logger;
   /** How long one read waits for records, in milliseconds. Default 1,500. */
   readonly waitMs?: number;
+  /**
+   * The least time from the start of one read to the next, in milliseconds: a topic to which many write all the time
+   * costs a call for each record otherwise. Default 0.
+   */
+  readonly gapMs?: number;
   /** Called for each record in order. */
   readonly onRecord: (record: KeyedRecord) => void;
   /**
@@ -69,14 +74,17 @@
 
   private async run(): Promise<void> {
     const { signal } = this.stopping;
+    const { timers, gapMs = 0 } = this.options;
     while (!signal.aborted) {
+      const startedAt = timers.now();
       const failure =
         this.offset === undefined ? await this.startOver() : await this.readOn(this.offset);
       if (failure) {
         this.recordFailure(failure);
-        await this.options.timers.sleep(this.getRetryMs(), signal);
+        await timers.sleep(this.getRetryMs(), signal);
       } else {
         this.recordSuccess();
+        await timers.sleep(Math.max(0, startedAt + gapMs - timers.now()), signal);
       }
     }
   }
--- a/src/types/gateway.ts
+++ b/src/types/gateway.ts
@@ -192,6 +192,10 @@
   readonly retryShare: number;
   readonly retryReserve: number;
   readonly retryWindowMs: number;
+  /** How long after an endpoint said that it leaves calls may still reach it, in milliseconds. */
+  readonly leaveMs: number;
+  /** How long a process may go without noticing that its connections are silent, in milliseconds. */
+  readonly silenceMs: number;
 }
 
 /** A host and a port. */
--- a/tests/gateway/keyedFollower.test.ts
+++ b/tests/gateway/keyedFollower.test.ts
@@ -8,7 +8,7 @@
 
 const TOPIC = { name: 'topic', part: 0 };
 
-function createFollower() {
+function createFollower(gapMs?: number) {
   const timers = new VirtualTimers();
   const server = new FakeStoreServer(timers);
   const faults = createStoreFaults();
@@ -18,6 +18,7 @@
   const follower = new KeyedFollower({
     store: new FakeStore(server, process, faults),
     topic: TOPIC,
+    gapMs,
     timers: process,
     logger: createLogger({ level: 'error', format: 'json' }),
     onListed: (keys, isAfterOutage) => {
@@ -94,3 +95,22 @@
   expect(values.get('c')).toEqual('1');
   follower.stop();
 });
+
+test('a topic that is written all the time is read once in a gap, and no record is late by more', async () => {
+  const gapMs = 500;
+  const { timers, server, follower, values, put } = createFollower(gapMs);
+  let reads = 0;
+  const read = server.read.bind(server);
+  server.read = (options) => {
+    reads += 1;
+    return read(options);
+  };
+  follower.start();
+  for (let count = 0; count < 200; count += 1) {
+    put('beat', String(count));
+    await timers.advance(20);
+  }
+  expect(reads).toBeLessThanOrEqual(4_000 / gapMs + 1);
+  expect(Number(values.get('beat'))).toBeGreaterThanOrEqual(199 - gapMs / 20 - 1);
+  follower.stop();
+});
--- a/tests/support/gatewayFleet.ts
+++ b/tests/support/gatewayFleet.ts
@@ -144,6 +144,8 @@
         retryShare: 1,
         retryReserve: 100,
         retryWindowMs: 10_000,
+        leaveMs: 2_000,
+        silenceMs: 3_000,
       },
       platform: {
         store: this.store,
