Let a vm that can't keep up leave the balancer's rotation

The same vm's lines: calls take 200 to 500 ms, 60 to 140 of them for their tokens, then 240 callers leave within 3 s; half of the processor time it may use is enough for 80 calls a second. Cause: a process answers the readiness question however far behind it is.

Busy for half a second: not ready for 4 s, twice as long (16 s at most) when the load is back soon, and answers close their connections, so that callers go to other vms. A single stall is no load: a frozen vm stays ready.

--- a/src/core/metrics.ts
+++ b/src/core/metrics.ts
@@ -29,6 +29,8 @@
   readonly remoteHolds: Counter<'result'>;
   readonly openRequests: Gauge;
   readonly rulesVersion: Gauge;
+  /** Smoothed lateness of timers in milliseconds, which shows whether the process keeps up. */
+  readonly timerLateMs: Gauge;
 }
 
 /**
@@ -71,6 +73,7 @@
     ]),
     remoteHolds: counter('remote_holds_total', 'Holds at the homes of budgets.', ['result']),
     openRequests: gauge('open_requests', 'Requests in flight.'),
+    timerLateMs: gauge('timer_late_ms', 'Smoothed lateness of timers in milliseconds.'),
     rulesVersion: gauge('rules_version', 'Version of the rules in force.'),
   };
 }
--- a/src/gateway/gateway.ts
+++ b/src/gateway/gateway.ts
@@ -4,6 +4,7 @@
 import type { Result } from '../core/results.js';
 import type { TimerService } from '../core/timers.js';
 import { createRefusal } from '../core/codes.js';
+import { LoadController } from '../controllers/loadController.js';
 import { SuspectController } from '../controllers/suspectController.js';
 import { TransferController } from '../controllers/transferController.js';
 import { AccountShard } from '../escrow/accountShard.js';
@@ -107,6 +108,8 @@
 
   private readonly filters: readonly Filter<GatewayCall>[];
 
+  private readonly load: LoadController;
+
   private totals = new Map<BudgetId, VersionedTotal>();
 
   private isStopping = false;
@@ -120,6 +123,7 @@
       decode: platform.decodeConfig,
       onChange: (config) => this.onConfig(config),
     });
+    this.load = new LoadController({ timers, logger, metrics: options.metrics });
     this.shards = this.createShards();
     this.transfers = this.createTransfers();
     this.escrow = this.createEscrow();
@@ -145,6 +149,7 @@
     this.endpointFollower.start();
     this.escrow.start();
     this.peerSync.start();
+    this.load.start();
     this.options.logger.info('gateway started', { run: this.options.run, port });
     return port;
   }
@@ -167,6 +172,7 @@
     const settledMs = deployment.graceMs - STOP_MARGIN_MS / 2 - (timers.now() - startedAt);
     const isSettled = await timers.isDoneWithin(this.escrow.stop(), Math.max(1, settledMs));
     this.peerSync.stop();
+    this.load.stop();
     this.configFollower.stop();
     this.endpointFollower.stop();
     this.server.close();
@@ -336,6 +342,8 @@
       handlers: {
         handleCall: (call) => this.handleCall(call),
         getUnreadiness: () => this.getUnreadiness(),
+        isOverloaded: () => this.load.isOverloaded(),
+        isSaturated: () => this.load.isSaturated(),
         answerPeer: (body, signature) => this.peers.answer(body, signature),
       },
     });
@@ -362,7 +370,10 @@
     if (!this.config.getInForce()) {
       return 'no configuration';
     }
-    return this.directory.getSize() > 0 ? undefined : 'no endpoints';
+    if (this.directory.getSize() === 0) {
+      return 'no endpoints';
+    }
+    return this.load.isOverloaded() ? 'overloaded' : undefined;
   }
 
   private onConfig({ config }: ConfigInForce): void {
--- a/src/gateway/gatewayServer.ts
+++ b/src/gateway/gatewayServer.ts
@@ -19,6 +19,10 @@
   readonly handleCall: (call: GatewayCall) => Promise<CallOutcome>;
   /** Returns why the gateway takes no new connections, or `undefined` where it does. */
   readonly getUnreadiness: () => string | undefined;
+  /** Returns whether callers should go to other processes with their next call. */
+  readonly isOverloaded: () => boolean;
+  /** Returns whether a call that comes now would be served too late. */
+  readonly isSaturated: () => boolean;
   readonly answerPeer: PeerAnswerer;
 }
 
@@ -180,7 +184,10 @@
   private async handleCaller(message: IncomingMessage, response: ServerResponse): Promise<void> {
     const { timers, codec } = this.options;
     const arrivedAt = timers.now();
-    const caller = new CallerConnection(response, () => this.isClosing);
+    const caller = new CallerConnection(
+      response,
+      () => this.isClosing || this.options.handlers.isOverloaded(),
+    );
     this.open.add(response);
     response.on('close', () => this.onEnd(response));
     // A head that went out before the stop began kept the connection open.
@@ -214,6 +221,9 @@
     if (this.isDraining) {
       return createRefusal('draining', { retryAfterMs: DRAINING_COME_BACK_MS });
     }
+    if (this.options.handlers.isSaturated()) {
+      return createRefusal('overloaded', { retryAfterMs: OVERLOAD_COME_BACK_MS });
+    }
     const headerBytes = rawHeaders.reduce((sum, text) => sum + text.length + 2, 0);
     if (headerBytes > this.limits.headerBytes) {
       return createRefusal('headersTooLarge');
