Give each budget one home, among the largest vms

Cause: each vm asked a home of its own choice, so six homes claimed for every budget: they collided (199 of 434 exchanges at least once), each held a sixth of what was kept in hand, and asked the others in vain (735 loans, 723 of them empty). The homes were chosen by their names alone: a vm of 0.324 cores could judge the calls of 86.

Change: every vm asks the same home first for a budget (rendezvous of the budget over the six homes), and only that one claims ahead of its calls; records state the vm's cores, and the largest vms are the homes. A home of nearly all of a target in hand (0.9 where it was 0.7) carries a partition alone. Fleets of nine and fewer stay as they were. Tests: 76 vms agree on one claimant for each of 24 budgets and ask it first; the largest six of 84 are the homes.

Weighed: blocks of tokens lent to each vm.

--- a/src/escrow/accountShard.ts
+++ b/src/escrow/accountShard.ts
@@ -30,6 +30,8 @@
   readonly run: Incarnation;
   /** Where peers reach this process, as HOST:PORT. */
   readonly address: string;
+  /** Processor cores of this vm. Default 0, for unknown. */
+  readonly cores?: number;
   /** Asks the witnesses of this process's records. */
   readonly extensions: ExtensionClient;
   /** How much spending an allotment covers, in milliseconds. */
@@ -127,6 +129,7 @@
       timers,
       logger,
       vm,
+      cores: options.cores,
       part: topic.part,
       homesMax,
       getSeeds,
@@ -190,7 +193,7 @@
   getLenders(budget: BudgetId): VmId[] {
     const { homes, ledger } = this;
     return homes
-      .getHomesToAsk()
+      .getHomesToAsk(budget)
       .sort((a, b) => ledger.getHeld(budget, b) - ledger.getHeld(budget, a));
   }
 
@@ -474,10 +477,10 @@
   }
 
   private createPending(isFinal: boolean): PendingRecord {
-    const { run, address, vm } = this.options;
+    const { run, address, vm, cores = 0 } = this.options;
     const { changes, balances } = this.book.prepare(isFinal);
     const witnesses = chooseWitnesses(this.ledger, vm);
-    const record = { run, sequence: this.sequence + 1, address, witnesses, balances };
+    const record = { run, sequence: this.sequence + 1, address, cores, witnesses, balances };
     return { at: this.reader.getOffset()!, record, bytes: encodeHolderRecord(record), changes };
   }
 }
--- a/src/escrow/allotmentPlan.ts
+++ b/src/escrow/allotmentPlan.ts
@@ -50,8 +50,10 @@
  * time, and what the holders have in hand when all die at once does not come back. */
 const LEFT_SHARE_MIN = 0.2;
 const LEFT_SHARE_MAX = 0.3;
-/** Claims when free tokens fall below this part of the target. */
-const LOW_SHARE = 0.7;
+/** Claims when free tokens fall below this part of the target: a partition finds nearly all of it in hand. */
+const CLAIM_LOW_SHARE = 0.9;
+/** Opens more when opened tokens fall below this part of what is desired. */
+const OPEN_LOW_SHARE = 0.7;
 /** Gives back when free tokens pass this multiple of the target. */
 const HIGH_SHARE = 1.5;
 
@@ -93,7 +95,7 @@
     // What is left serves at least some of those that wait.
     return { claimed: Math.floor(available), wanted: Math.ceil(lacking - available) };
   }
-  const isLow = free < target * LOW_SHARE && situation.wantedByOthers === 0;
+  const isLow = free < target * CLAIM_LOW_SHARE && situation.wantedByOthers === 0;
   if (lacking > 0 || isLow) {
     const desired = isLow ? Math.max(lacking, needed + target - free) : lacking;
     return { claimed: Math.floor(Math.min(desired, available)), wanted: 0 };
@@ -121,7 +123,7 @@
 function planOpening(situation: AllotmentSituation, free: number): number {
   const { freeOpened, expectedSoon, needed, hasWitnesses } = situation;
   const desired = hasWitnesses ? Math.min(free, Math.ceil(needed + expectedSoon)) : free;
-  const isTooLow = freeOpened < needed || freeOpened < desired * LOW_SHARE;
+  const isTooLow = freeOpened < needed || freeOpened < desired * OPEN_LOW_SHARE;
   const isTooHigh = freeOpened > desired * HIGH_SHARE || freeOpened > free;
   return isTooLow || isTooHigh ? Math.floor(desired - freeOpened) : 0;
 }
--- a/src/escrow/escrowController.ts
+++ b/src/escrow/escrowController.ts
@@ -117,12 +117,12 @@
     return result;
   }
 
-  /** Returns `undefined` where this vm is a home itself, or where none answers: then this vm claims. */
+  /** Returns `undefined` where this vm is the budget's home, or where none answers: then this vm claims. */
   private async holdAtHome(budget: BudgetId, tokens: number): Promise<HoldResult | undefined> {
     const shard = this.getShard(budget);
     const { homes } = shard;
     // A process whose account is not stored yet can't claim.
-    return homes.isHome() && shard.isProven()
+    return homes.isHomeOf(budget) && shard.isProven()
       ? undefined
       : this.options.homeClient.hold(homes, budget, tokens);
   }
--- a/src/escrow/holderRecord.ts
+++ b/src/escrow/holderRecord.ts
@@ -38,6 +38,8 @@
   readonly sequence: number;
   /** Where peers reach the holder, as HOST:PORT. */
   readonly address: string;
+  /** Processor cores of the holder's vm; 0 where a record does not say. */
+  readonly cores: number;
   readonly witnesses: readonly Witness[];
   readonly balances: ReadonlyMap<BudgetId, HolderBalance>;
 }
@@ -45,18 +47,21 @@
 const FORMAT = 1;
 const amount = z.int();
 const balanceSchema = z.tuple([z.string(), amount, amount, amount, amount, amount, amount, amount]);
-const recordSchema = z.tuple([
-  z.literal(FORMAT),
-  z.string(),
-  z.int().min(1),
-  z.string(),
-  z.array(z.tuple([z.string(), z.string()])),
-  z.array(balanceSchema),
-]);
+const recordSchema = z
+  .tuple([
+    z.literal(FORMAT),
+    z.string(),
+    z.int().min(1),
+    z.string(),
+    z.array(z.tuple([z.string(), z.string()])),
+    z.array(balanceSchema),
+  ])
+  // Processes of an earlier version state no cores.
+  .rest(z.number().min(0));
 
 /** Encodes a record. */
 export function encodeHolderRecord(record: HolderRecord): Uint8Array {
-  const { run, sequence, address, witnesses, balances } = record;
+  const { run, sequence, address, cores, witnesses, balances } = record;
   const rows = [...balances].map(([budget, balance]) => {
     const { claimed, opened, settled, lost, wanted, total, totalVersion } = balance;
     return [budget, claimed, opened, settled, lost, wanted, total, totalVersion];
@@ -68,16 +73,18 @@
     address,
     witnesses.map((witness) => [witness.vm, witness.run]),
     rows,
+    cores,
   ]);
 }
 
 /** Decodes a record; an error says what is malformed. */
 export function decodeHolderRecord(bytes: Uint8Array): Result<HolderRecord, string> {
   return checkShape(recordSchema, () => decode(bytes)).map(
-    ([, run, sequence, address, pairs, rows]) => ({
+    ([, run, sequence, address, pairs, rows, cores = 0]) => ({
       run: run as Incarnation,
       sequence,
       address,
+      cores,
       witnesses: pairs.map(([vm, witnessRun]) => ({
         vm: vm as VmId,
         run: witnessRun as Incarnation,
--- a/src/escrow/homeClient.ts
+++ b/src/escrow/homeClient.ts
@@ -41,7 +41,7 @@
 
   /** Sets tokens aside at the first home that answers; `undefined` where none does. */
   async hold(homes: HomeList, budget: BudgetId, tokens: number): Promise<HoldResult | undefined> {
-    const asked = homes.getHomesToAsk().slice(0, HOMES_ASKED_MAX);
+    const asked = homes.getHomesToAsk(budget).slice(0, HOMES_ASKED_MAX);
     for (let index = 0; index < asked.length; index += 1) {
       // The next home is asked only where the one before did not answer.
       const result = await this.holdAt(asked[index]!, homes, budget, tokens);
--- a/src/escrow/homeList.ts
+++ b/src/escrow/homeList.ts
@@ -1,12 +1,13 @@
 /**
- * Chooses the few vms, the homes, that hold the claims on the budgets of one topic. With every vm as a claimant
- * appends collide more often than they succeed, and a vm's part of a balance is smaller than one request.
+ * Chooses the few vms, the homes, that hold the claims on the budgets of one topic, and among them one for each budget.
+ * With every vm as a claimant appends collide more often than they succeed, and a vm's part of a balance is smaller
+ * than one request.
  * The choice decides only who claims: what the store accepts is judged there, whoever claims.
  */
 import type { Logger } from '../core/logging.js';
 import type { TimerService } from '../core/timers.js';
 import { getRendezvousOrder } from '../core/utilities.js';
-import type { VmId } from '../types/ids.js';
+import type { BudgetId, VmId } from '../types/ids.js';
 import type { Ledger } from './ledger.js';
 
 /** Options of a list. */
@@ -15,6 +16,8 @@
   readonly timers: TimerService;
   readonly logger: Logger;
   readonly vm: VmId;
+  /** Processor cores of this vm. Default 0, for unknown. */
+  readonly cores?: number;
   /** The part of the accounts. */
   readonly part: number;
   /** Default 6, or all of a fleet of at most 9. */
@@ -51,17 +54,34 @@
     return this.getHomes().includes(this.options.vm);
   }
 
+  /** Returns whether this process claims tokens of a budget ahead of the calls that need them. */
+  isHomeOf(budget: BudgetId): boolean {
+    const homes = this.getHomes();
+    return (
+      homes.includes(this.options.vm) &&
+      (this.isSmallFleet() || this.getFirst(budget, homes) === this.options.vm)
+    );
+  }
+
+  /** Returns how many vms claim a budget ahead of its calls, at least 1. */
+  getClaimants(): number {
+    return this.isSmallFleet() ? this.getCount() : 1;
+  }
+
   /** Returns how many homes there are, at least 1. */
   getCount(): number {
     return Math.max(1, this.getHomes().length);
   }
 
-  /** Returns the homes other than this vm in an order of its own, so that the homes share the vms. */
-  getHomesToAsk(): VmId[] {
+  /**
+   * Returns the homes other than this vm in the order in which to ask them for a budget. All vms ask the same home
+   * first: what it holds is in one piece, and no other home claims for the budget meanwhile.
+   */
+  getHomesToAsk(budget: BudgetId): VmId[] {
     const { vm, ledger, getSeeds = () => [] } = this.options;
     const homes = ledger.holders.size > 0 ? this.getHomes() : getSeeds();
     const others = homes.filter((home) => home !== vm && !this.isSilent(home));
-    return getRendezvousOrder(vm, others) as VmId[];
+    return getRendezvousOrder(budget, others) as VmId[];
   }
 
   /** Notes a vm that did not answer in time. */
@@ -88,7 +108,7 @@
   private getHomes(): VmId[] {
     const homes: VmId[] = [];
     const order = this.getOrder();
-    const ownMax = order.length <= SMALL_FLEET_MAX ? SMALL_FLEET_MAX : HOMES_MAX;
+    const ownMax = this.isSmallFleet() ? SMALL_FLEET_MAX : HOMES_MAX;
     const { homesMax = ownMax } = this.options;
     for (let index = 0; index < order.length && homes.length < homesMax; index += 1) {
       if (!this.isSilent(order[index]!)) {
@@ -98,16 +118,29 @@
     return homes;
   }
 
+  /** Larger vms go first: six homes judge the calls of a whole fleet, and a small one would have no time for its own. */
   private getOrder(): readonly VmId[] {
-    const { ledger, vm, part } = this.options;
+    const { ledger, vm, part, cores = 0 } = this.options;
     if (this.orderedGeneration !== ledger.generation) {
       this.orderedGeneration = ledger.generation;
-      const holders = new Set([...ledger.holders.keys(), vm]);
-      this.order = getRendezvousOrder(`accounts-${part}`, [...holders]) as VmId[];
+      const coresByVm = new Map(
+        [...ledger.holders].map(([holder, record]) => [holder, record.cores]),
+      );
+      coresByVm.set(vm, cores);
+      const order = getRendezvousOrder(`accounts-${part}`, [...coresByVm.keys()]) as VmId[];
+      this.order = order.sort((a, b) => coresByVm.get(b)! - coresByVm.get(a)!);
     }
     return this.order;
   }
 
+  private isSmallFleet(): boolean {
+    return this.getOrder().length <= SMALL_FLEET_MAX;
+  }
+
+  private getFirst(budget: BudgetId, homes: readonly VmId[]): VmId | undefined {
+    return getRendezvousOrder(budget, homes)[0] as VmId | undefined;
+  }
+
   private isSilent(home: VmId): boolean {
     const silence = this.silences.get(home);
     return silence !== undefined && silence.until > this.options.timers.now();
--- a/src/gateway/gateway.ts
+++ b/src/gateway/gateway.ts
@@ -201,6 +201,7 @@
           run,
           extensions: new ExtensionClient({ client: this.peerClient, vm, part }),
           address: `${peerAddress.host}:${peerAddress.port}`,
+          cores: deployment.cores,
           horizonMs: this.options.horizonMs ?? HORIZON_MS,
           getTotals: () => this.totals,
           getSeeds: () => this.getSeeds(),
--- a/src/types/gateway.ts
+++ b/src/types/gateway.ts
@@ -188,6 +188,8 @@
   readonly storeAddress: Address;
   /** How long a stopping process may take, in milliseconds. */
   readonly graceMs: number;
+  /** Processor cores that the vm grants; parts of one where it shares them. */
+  readonly cores: number;
   /** Retries are limited to a share of the calls in a window plus a reserve, over the whole fleet. */
   readonly retryShare: number;
   readonly retryReserve: number;
--- a/tests/gateway/homes.test.ts
+++ b/tests/gateway/homes.test.ts
@@ -13,7 +13,13 @@
 import { HomeList } from '../../src/escrow/homeList.js';
 import { encodeHolderRecord, type HolderRecord } from '../../src/escrow/holderRecord.js';
 import { Ledger } from '../../src/escrow/ledger.js';
-import { brandId, type BudgetId, type Offset, type VmId } from '../../src/types/ids.js';
+import {
+  brandId,
+  type BudgetId,
+  type Incarnation,
+  type Offset,
+  type VmId,
+} from '../../src/types/ids.js';
 import { FakeNetwork, FakePeerClient } from '../support/fakePeers.js';
 import { createStoreFaults, FakeStore, FakeStoreServer } from '../support/fakeStore.js';
 import { PausableTimers } from '../support/pausableTimers.js';
@@ -29,8 +35,9 @@
   return Array.from({ length: count }, (_, index) => brandId(`vm${index}`));
 }
 
-function createRecord(vm: VmId): HolderRecord {
-  return { run: brandId(`${vm}-1`), sequence: 1, address: vm, witnesses: [], balances: new Map() };
+function createRecord(vm: VmId, cores = 0): HolderRecord {
+  const run: Incarnation = brandId(`${vm}-1`);
+  return { run, sequence: 1, address: vm, cores, witnesses: [], balances: new Map() };
 }
 
 function createLedger(vms: readonly VmId[]): Ledger {
@@ -53,18 +60,57 @@
   const timers = new VirtualTimers();
   const ledger = createLedger(getVms(76));
   const list = new HomeList({ ledger, timers, logger, vm: brandId('vm0'), part: 0 });
-  const [first, ...others] = list.getHomesToAsk();
+  const [first, ...others] = list.getHomesToAsk(BUDGET);
   list.recordSilence(first!);
-  expect(list.getHomesToAsk()).not.toInclude(first!);
-  expect(list.getHomesToAsk()).toInclude(...others);
+  expect(list.getHomesToAsk(BUDGET)).not.toInclude(first!);
+  expect(list.getHomesToAsk(BUDGET)).toInclude(...others);
   expect(list.getCount()).toEqual(HOMES);
   await timers.advance(1_001);
-  expect(list.getHomesToAsk()).toInclude(first!);
+  expect(list.getHomesToAsk(BUDGET)).toInclude(first!);
   list.recordSilence(first!);
   await timers.advance(1_001);
-  expect(list.getHomesToAsk()).not.toInclude(first!);
+  expect(list.getHomesToAsk(BUDGET)).not.toInclude(first!);
   list.recordAnswer(first!);
-  expect(list.getHomesToAsk()).toInclude(first!);
+  expect(list.getHomesToAsk(BUDGET)).toInclude(first!);
+});
+
+test('every vm asks the same home first for a budget, which alone claims ahead of its calls', () => {
+  const timers = new VirtualTimers();
+  const vms = getVms(76);
+  const ledger = createLedger(vms);
+  const lists = vms.map((vm) => new HomeList({ ledger, timers, logger, vm, part: 0 }));
+  const budgets = Array.from({ length: 24 }, (_, index) => brandId<BudgetId>(`budget${index}`));
+  const claimants = budgets.map((budget) =>
+    vms.filter((_, index) => lists[index]!.isHomeOf(budget)),
+  );
+  expect(claimants.every((homes) => homes.length === 1)).toEqual(true);
+  expect(new Set(claimants.flat()).size).toBeGreaterThan(HOMES / 2);
+  budgets.forEach((budget, number) => {
+    const [home] = claimants[number]!;
+    const first = lists
+      .filter((_, index) => vms[index] !== home)
+      .map((list) => list.getHomesToAsk(budget)[0]);
+    expect(new Set(first)).toEqual(new Set([home]));
+  });
+});
+
+test('the largest vms are the homes, whatever their order', () => {
+  const timers = new VirtualTimers();
+  const vms = getVms(84);
+  const ledger = new Ledger();
+  const isLarge = (vm: VmId) => vms.indexOf(vm) % 14 === 3;
+  vms.forEach((vm) => ledger.apply(vm, createRecord(vm, isLarge(vm) ? 1.35 : 0.324)));
+  const homes = vms.filter((vm) =>
+    new HomeList({
+      ledger,
+      timers,
+      logger,
+      vm,
+      cores: isLarge(vm) ? 1.35 : 0.324,
+      part: 0,
+    }).isHome(),
+  );
+  expect(homes).toEqual(vms.filter(isLarge));
 });
 
 /** Holds of one home with a balance, which takes a while for each. */
--- a/tests/support/gatewayFleet.ts
+++ b/tests/support/gatewayFleet.ts
@@ -141,6 +141,7 @@
         seeds: [],
         storeAddress: address(0),
         graceMs: 4_000,
+        cores: 1,
         retryShare: 1,
         retryReserve: 100,
         retryWindowMs: 10_000,
