--- a/src/escrow/allotmentPlan.ts
+++ b/src/escrow/allotmentPlan.ts
@@ -54,6 +54,8 @@
 const CLAIM_LOW_SHARE = 0.9;
 /** Opens more when opened tokens fall below this part of what is desired. */
 const OPEN_LOW_SHARE = 0.7;
+/** The part of what is not spent that is opened at rest, so that the first calls of a flood need no append each. */
+const REST_SHARE = 0.02;
 /** Gives back when free tokens pass this multiple of the target. */
 const HIGH_SHARE = 1.5;
 
@@ -121,8 +123,9 @@
  * seldom waits for one append: two requests' room on each vm was an eighth of a total when all died at once.
  */
 function planOpening(situation: AllotmentSituation, free: number): number {
-  const { freeOpened, expectedSoon, needed, hasWitnesses } = situation;
-  const desired = hasWitnesses ? Math.min(free, Math.ceil(needed + expectedSoon)) : free;
+  const { freeOpened, expectedSoon, needed, hasWitnesses, left, share } = situation;
+  const soon = Math.max(expectedSoon, Math.max(0, left) * share * REST_SHARE);
+  const desired = hasWitnesses ? Math.min(free, Math.ceil(needed + soon)) : free;
   const isTooLow = freeOpened < needed || freeOpened < desired * OPEN_LOW_SHARE;
   const isTooHigh = freeOpened > desired * HIGH_SHARE || freeOpened > free;
   return isTooLow || isTooHigh ? Math.floor(desired - freeOpened) : 0;
