Bound what is read of bytes that never end

Looked for on each socket that is read as a client. Sound already: heads and headers (the parser's limit), bodies of plain answers (8 MiB), everything that waits for a deadline.

--- a/src/gateway/forward/answerRelay.ts
+++ b/src/gateway/forward/answerRelay.ts
@@ -1,5 +1,6 @@
 /** Passes the answer of an endpoint on to the caller, whole or event by event. */
 import type { IncomingMessage } from 'node:http';
+import type { TimerService } from '../../core/timers.js';
 import type { AnswerFacts } from '../../types/gateway.js';
 import type { GatewayCall } from '../call.js';
 import { EventSplitter, type StreamEvent } from './eventSplitter.js';
@@ -11,6 +12,8 @@
   | { readonly kind: 'broken'; readonly detail: string };
 
 const WHOLE_ANSWER_BYTES_MAX = 8 * 1_048_576;
+const DISCARDED_BYTES_MAX = 65_536; // a refusal says why in less
+const DISCARDED_MS_MAX = 1_000; // a new connection costs less than one that is held for longer
 
 /** An answer that comes in, with whether its connection has had no error. */
 export interface IncomingAnswer {
@@ -42,6 +45,23 @@
   });
 }
 
+/**
+ * Reads the rest of an answer that goes to nobody, so that its connection can be used again; one that is long or slow
+ * ends with its connection.
+ */
+export function discardAnswer(answer: IncomingMessage, timers: TimerService): void {
+  let length = 0;
+  const cancel = timers.subscribe(DISCARDED_MS_MAX, () => answer.destroy());
+  answer.on('data', (part: Buffer) => {
+    length += part.length;
+    if (length > DISCARDED_BYTES_MAX) {
+      answer.destroy();
+    }
+  });
+  answer.on('error', () => {});
+  answer.on('close', cancel);
+}
+
 /** Options of a stream's relay. */
 export interface StreamRelayOptions {
   readonly call: GatewayCall;
@@ -75,6 +95,10 @@
       let isFirst = true;
       answer.on('data', (bytes: Buffer) => {
         const events = splitter.push(bytes).filter((event) => this.isNew(event));
+        if (splitter.isOverlong()) {
+          resolve({ kind: 'broken', detail: 'an event is too long' });
+          answer.destroy();
+        }
         if (events.length === 0) {
           return;
         }
--- a/src/gateway/forward/endpointCall.ts
+++ b/src/gateway/forward/endpointCall.ts
@@ -27,6 +27,7 @@
   | { readonly kind: 'broken'; readonly detail: string }
   | { readonly kind: 'aborted' };
 
+const INTERIM_ANSWERS_MAX = 8; // heads with 1xx come before an answer, and each is small
 const CONNECT_TIMEOUT_MS = 400; // a dark endpoint must not use up a target of 300 ms and more than once
 
 /** A call in progress. It ends by its answer, a failure, or `abort`. */
@@ -57,6 +58,13 @@
     });
     this.sent = new Promise((resolve) => {
       this.outgoing.on('socket', (socket: Socket) => this.watchSocket(socket));
+      let interim = 0;
+      this.outgoing.on('information', () => {
+        interim += 1;
+        if (interim > INTERIM_ANSWERS_MAX) {
+          this.outgoing.destroy(new Error('interim answers without end'));
+        }
+      });
       this.outgoing.on('response', (answer) => {
         if (isUnframed(answer)) {
           this.watchEnd(answer.socket);
--- a/src/gateway/forward/eventSplitter.ts
+++ b/src/gateway/forward/eventSplitter.ts
@@ -7,6 +7,8 @@
   readonly id: string | undefined;
 }
 
+/** An event of an engine holds some tokens; what grows past this is no event. */
+const EVENT_BYTES_MAX = 262_144;
 const LINE_FEED = 0x0a;
 const CARRIAGE_RETURN = 0x0d;
 const ID_FIELD = /(?:^|\n)id: ?([^\r\n]*)/;
@@ -29,6 +31,11 @@
     return events;
   }
 
+  /** Returns whether the event in progress is too long to be one. */
+  isOverlong(): boolean {
+    return this.rest.length > EVENT_BYTES_MAX;
+  }
+
   /** Returns the bytes after the last whole event. */
   getRest(): Buffer {
     return this.rest;
--- a/src/peers/peerRpc.ts
+++ b/src/peers/peerRpc.ts
@@ -16,6 +16,7 @@
 export const SIGNATURE_HEADER = 'x-shallotrock-signature';
 
 const DEFAULT_TIMEOUT_MS = 500;
+const ANSWER_BYTES_MAX = 8 * 1_048_576; // a configuration with thousands of routes, in base64
 const CONNECTIONS_MAX = 16; // a burst of holds that each wait at one home; a home has descriptors for 200 such vms
 
 /** Signs the body of a message. */
@@ -103,7 +104,14 @@
       outgoing.on('error', reject);
       outgoing.on('response', (answer) => {
         const parts: Buffer[] = [];
-        answer.on('data', (part: Buffer) => parts.push(part));
+        let length = 0;
+        answer.on('data', (part: Buffer) => {
+          length += part.length;
+          parts.push(part);
+          if (length > ANSWER_BYTES_MAX) {
+            outgoing.destroy(new Error(`the answer is over ${ANSWER_BYTES_MAX} bytes`));
+          }
+        });
         answer.on('end', () => resolve(Buffer.concat(parts).toString()));
         answer.on('error', reject);
       });
