--- a/src/gateway/gatewayServer.ts
+++ b/src/gateway/gatewayServer.ts
@@ -51,6 +51,7 @@
 const IDLE_MARGIN_MS = 2_000; // a caller's last call on an idle connection must not cross with its closing
 const LISTEN_BACKLOG = 1_024; // many callers come at once; a full queue makes them wait for seconds
 const BODY_BYTES_IN_FLIGHT_MAX = 96 * 1_048_576; // bodies are kept until they were sent; the rest of the memory is the process's own
+const CLOSING_MS = 100; // a refusal is written at once
 const DRAINING_COME_BACK_MS = 100; // another process takes the call at once
 const OVERLOAD_COME_BACK_MS = 1_000;
 
@@ -125,17 +126,24 @@
     this.isDraining = true;
   }
 
-  /** Takes no new connections, and closes those without a call; resolves when no call is in flight. */
+  /**
+   * Refuses what still comes, and closes connections without a call; resolves when no call is in flight. The port goes
+   * on listening: connections that wait to be accepted would be reset with it.
+   */
   drain(): Promise<void> {
     this.startDraining();
-    this.callers.close();
     this.callers.closeIdleConnections();
     this.checkDrained();
     return this.drained.promise;
   }
 
-  /** Closes everything. */
-  close(): void {
+  /** Stops listening, lets refusals in progress end, and closes everything. */
+  async close(): Promise<void> {
+    this.callers.close();
+    this.callers.closeIdleConnections();
+    this.drained = createDeferred<void>();
+    this.checkDrained();
+    await this.options.timers.isDoneWithin(this.drained.promise, CLOSING_MS);
     this.sockets.forEach((socket) => socket.destroy());
     [this.callers, this.readiness, this.peers].forEach((server) => {
       server.close();
@@ -299,7 +307,7 @@
   }
 
   private checkDrained(): void {
-    if (this.open.size === 0 && !this.callers.listening) {
+    if (this.open.size === 0 && this.isDraining) {
       this.drained.resolve();
     }
   }
--- /dev/null
+++ b/tests/reports/lostAnswer.test.ts
@@ -0,0 +1,38 @@
+/** After an answer is lost, work that has run is run again, or the caller is told that it hasn't run. */
+import { test } from 'node:test';
+import { expect } from 'earl';
+import { createRoute, GatewayFleet } from '../support/gatewayFleet.js';
+import { serveRaw } from '../support/rawEndpoint.js';
+
+const TIMEOUT = { timeout: 30_000 };
+const PROMISES_NOT_RUN = [408, 421, 429, 503];
+
+[true, false].forEach((isStream) => {
+  test(
+    `a ${isStream ? 'stream' : 'call'} whose answer is lost runs once, and nobody says that it has not run`,
+    TIMEOUT,
+    async (context) => {
+      const fleet = await GatewayFleet.start(context);
+      await fleet.configure([createRoute('/a/', { isStream, attempts: 3 })]);
+      const endpoints = await Promise.all(
+        ['e1', 'e2'].map(() =>
+          serveRaw(context, (socket) => setTimeout(() => socket.resetAndDestroy(), 20)),
+        ),
+      );
+      await fleet.listEndpoint('e1', endpoints[0]!.port);
+      await fleet.listEndpoint('e2', endpoints[1]!.port);
+      const answer = await fleet.call('/a/x');
+      expect(PROMISES_NOT_RUN).not.toInclude(answer.status);
+      expect(endpoints.flatMap(({ calls }) => calls).length).toEqual(1);
+    },
+  );
+});
+
+test('a call that is silent until its time is over may have run', TIMEOUT, async (context) => {
+  const fleet = await GatewayFleet.start(context);
+  await fleet.configure([createRoute('/a/', { timeoutMs: 500 })]);
+  const endpoint = await serveRaw(context, () => {});
+  await fleet.listEndpoint('e1', endpoint.port);
+  expect((await fleet.call('/a/x')).status).toEqual(504);
+  expect(endpoint.calls.length).toEqual(1);
+});
--- /dev/null
+++ b/tests/reports/slowAndStalledStreams.test.ts
@@ -0,0 +1,53 @@
+/** Slow but sound streams are cut, and stalled ones that send a byte now and then never end. */
+import { test } from 'node:test';
+import { expect } from 'earl';
+import { createRoute, GatewayFleet, sendEvents } from '../support/gatewayFleet.js';
+
+const TIMEOUT = { timeout: 30_000 };
+
+test('a stream whose events come far apart is whole', TIMEOUT, async (context) => {
+  const fleet = await GatewayFleet.start(context);
+  await fleet.configure([createRoute('/s/', { isStream: true, timeoutMs: 20_000 })]);
+  await fleet.addEndpoint('e1', (message, response) => {
+    sendEvents(message, response, [1]);
+    setTimeout(() => response.write('id: 2\ndata: t2\n\n'), 2_500);
+    setTimeout(() => response.end('id: 3\ndata: t3\n\n'), 5_000);
+  });
+  const answer = await fleet.call('/s/x');
+  expect([answer.isWhole, answer.body.match(/^id/gm)?.length]).toEqual([true, 3]);
+});
+
+test(
+  "a stream that only trickles ends at its route's time, and does not look complete",
+  TIMEOUT,
+  async (context) => {
+    const fleet = await GatewayFleet.start(context);
+    await fleet.configure([createRoute('/s/', { isStream: true, timeoutMs: 1_000 })]);
+    let isClosed = false;
+    await fleet.addEndpoint('e1', (message, response) => {
+      sendEvents(message, response, [1]);
+      const trickle = setInterval(() => response.write(':'), 50);
+      response.on('close', () => {
+        clearInterval(trickle);
+        isClosed = true;
+      });
+    });
+    const answer = await fleet.call('/s/x');
+    expect([answer.status, answer.isWhole]).toEqual([200, false]);
+    await fleet.waitFor(() => isClosed);
+  },
+);
+
+test("a plain answer that only trickles ends at its route's time", TIMEOUT, async (context) => {
+  const fleet = await GatewayFleet.start(context);
+  await fleet.configure([createRoute('/a/', { timeoutMs: 1_000 })]);
+  await fleet.addEndpoint('e1', (message, response) => {
+    response.writeHead(200, {
+      'shallotrock-attempt-id': message.headers['shallotrock-attempt-id'],
+      'shallotrock-instance-seal': 'seal',
+    });
+    const trickle = setInterval(() => response.write('.'), 50);
+    response.on('close', () => clearInterval(trickle));
+  });
+  expect((await fleet.call('/a/x')).status).toEqual(504);
+});
