--- a/bench/gateway.ts
+++ b/bench/gateway.ts
@@ -8,7 +8,15 @@
 import type { AddressInfo } from 'node:net';
 import { headers, READINESS_PATH, SETTINGS_VARIABLE, topics } from '../platform/names.js';
 import { StoreStandin } from '../standins/storeStandin.js';
-import { delay, getMedian, getProcessCpuSeconds, round, type Bench, type Row } from './support.js';
+import {
+  delay,
+  getMedian,
+  getProcessCpuSeconds,
+  round,
+  type Bench,
+  type Row,
+  type Table,
+} from './support.js';
 
 const VMS = 12; // more than a fleet in which each vm is a home
 const ENGINES = 60;
@@ -21,10 +29,26 @@
 const EVENTS = 40;
 const CONFIG_ROUTES = 300;
 const CONFIG_CHANGES = 8;
+const CHANGE_INTERVAL_MS = 500;
+const FIRST_RECORDS_MS = 10_000;
 const PORTS = { frontend: 18_080, readiness: 18_081, peers: 18_082 };
 const PROGRAM = process.env.GATEWAY_PROGRAM ?? 'target/src/daemons/shallotrock.js';
 const MS_PER_SECOND = 1_000;
 
+/** Calls of one kind. */
+interface CallStage {
+  readonly stage: string;
+  readonly path: string;
+  readonly hasTokens: boolean;
+}
+
+const callStages: readonly CallStage[] = [
+  { stage: 'call without tokens, warm-up', path: '/plain/x', hasTokens: false },
+  { stage: 'call without tokens', path: '/plain/x', hasTokens: false },
+  { stage: 'stream of 1 event', path: '/stream0/x?events=1', hasTokens: true },
+  { stage: `stream of ${EVENTS} events`, path: `/stream0/x?events=${EVENTS}`, hasTokens: true },
+];
+
 interface Vm {
   readonly host: string;
   readonly child: ChildProcess;
@@ -279,68 +303,71 @@
   return values.reduce((total, value) => total + value, 0);
 }
 
-async function run() {
+/** Measures a vm at rest; first records of vms that are no homes are spread over some seconds before. */
+async function measureRest(fleet: GatewayBenchFleet): Promise<{ rows: Row[]; perSecond: number }> {
+  await delay(FIRST_RECORDS_MS);
+  const callsBefore = fleet.getStoreCalls();
+  const cpu = await fleet.measure(() => delay(IDLE_MS));
+  const vmSeconds = (VMS * IDLE_MS) / MS_PER_SECOND;
+  const perSecond = sum(cpu) / vmSeconds;
+  const calls = (fleet.getStoreCalls() - callsBefore) / vmSeconds;
+  return {
+    perSecond,
+    rows: [
+      createRow('idle second', perSecond * MS_PER_SECOND, 'ms a vm'),
+      createRow('idle second', calls, 'store calls a vm'),
+    ],
+  };
+}
+
+/** Measures calls of one kind beyond what the vms use at rest. */
+async function measureCalls(
+  fleet: GatewayBenchFleet,
+  restPerSecond: number,
+  { stage, path, hasTokens }: CallStage,
+): Promise<Row> {
+  let failed = 0;
+  const startedAt = Date.now();
+  const cpu = await fleet.measure(async () => {
+    failed = await sendCalls(fleet.vms, path, hasTokens);
+  });
+  const restSeconds = (restPerSecond * VMS * (Date.now() - startedAt)) / MS_PER_SECOND;
+  const perCall = (sum(cpu) - restSeconds) / CALLS;
+  return createRow(stage, perCall * MS_PER_SECOND, `ms a call, ${failed} failed`);
+}
+
+async function measureChanges(fleet: GatewayBenchFleet, restPerSecond: number): Promise<Row> {
+  const cpu = await fleet.measure(async () => {
+    for (let change = 0; change < CONFIG_CHANGES; change += 1) {
+      fleet.configure(CONFIG_ROUTES);
+      await delay(CHANGE_INTERVAL_MS);
+    }
+  });
+  const restSeconds = (restPerSecond * VMS * CONFIG_CHANGES * CHANGE_INTERVAL_MS) / MS_PER_SECOND;
+  const perChange = (sum(cpu) - restSeconds) / VMS / CONFIG_CHANGES;
+  const stage = `configuration of ${CONFIG_ROUTES} routes`;
+  return createRow(stage, perChange * MS_PER_SECOND, 'ms a vm and change');
+}
+
+function createRow(stage: string, figure: number, unit: string): Row {
+  return { stage, figure: round(figure), unit };
+}
+
+async function run(): Promise<readonly Table[]> {
   const fleet = new GatewayBenchFleet();
   const rows: Row[] = [];
   try {
     await fleet.start();
-    const started = fleet.vms.map(({ pid }) => getProcessCpuSeconds(pid));
-    rows.push({
-      stage: 'start',
-      'cpu ms': round(getMedian(started) * MS_PER_SECOND),
-      unit: 'a vm',
-    });
-    // First records of vms that are no homes are spread over some seconds.
-    await delay(10_000);
-    const callsBefore = fleet.getStoreCalls();
-    const idle = await fleet.measure(() => delay(IDLE_MS));
-    const idlePerSecond = sum(idle) / VMS / (IDLE_MS / MS_PER_SECOND);
-    rows.push({
-      stage: 'idle second',
-      'cpu ms': round(idlePerSecond * MS_PER_SECOND),
-      unit: 'a vm',
-    });
-    rows.push({
-      stage: 'idle store calls',
-      'cpu ms': round((fleet.getStoreCalls() - callsBefore) / VMS / (IDLE_MS / MS_PER_SECOND)),
-      unit: 'calls a vm and second',
-    });
-    for (const [stage, path, tokens] of [
-      ['warm-up, not counted', '/plain/x', false],
-      ['call without tokens', '/plain/x', false],
-      ['stream of 1 event with tokens', '/stream0/x?events=1', true],
-      [`stream of ${EVENTS} events with tokens`, `/stream0/x?events=${EVENTS}`, true],
-    ] as const) {
-      let failed = 0;
-      const at = Date.now();
-      const cpu = await fleet.measure(async () => {
-        failed = await sendCalls(fleet.vms, path, tokens);
-      });
-      const idleSeconds = (idlePerSecond * VMS * (Date.now() - at)) / MS_PER_SECOND;
-      const perCall = (sum(cpu) - idleSeconds) / CALLS;
-      rows.push({
-        stage,
-        'cpu ms': round(perCall * MS_PER_SECOND),
-        unit: `a call, ${failed} failed`,
-      });
+    const starts = fleet.vms.map(({ pid }) => getProcessCpuSeconds(pid));
+    rows.push(createRow('start', getMedian(starts) * MS_PER_SECOND, 'ms a vm'));
+    const rest = await measureRest(fleet);
+    rows.push(...rest.rows);
+    for (const stage of callStages) {
+      rows.push(await measureCalls(fleet, rest.perSecond, stage));
     }
-    const changes = await fleet.measure(async () => {
-      for (let change = 0; change < CONFIG_CHANGES; change += 1) {
-        fleet.configure(CONFIG_ROUTES);
-        await delay(500);
-      }
-    });
-    const changeSeconds = sum(changes) - (idlePerSecond * VMS * CONFIG_CHANGES) / 2;
-    rows.push({
-      stage: `configuration of ${CONFIG_ROUTES} routes`,
-      'cpu ms': round((changeSeconds / VMS / CONFIG_CHANGES) * MS_PER_SECOND),
-      unit: 'a vm and change',
-    });
-    rows.push({
-      stage: 'memory',
-      'cpu ms': round(getMedian(fleet.vms.map(({ pid }) => readPeakMegabytes(pid)))),
-      unit: 'MB, the peak of the median vm',
-    });
+    rows.push(await measureChanges(fleet, rest.perSecond));
+    const peaks = fleet.vms.map(({ pid }) => readPeakMegabytes(pid));
+    rows.push(createRow('memory', getMedian(peaks), 'MB, the peak of the median vm'));
   } finally {
     await fleet.stop();
   }
--- a/src/controllers/loadController.ts
+++ b/src/controllers/loadController.ts
@@ -11,7 +11,7 @@
   readonly metrics: Metrics;
 }
 
-const SAMPLE_INTERVAL_MS = 50;
+const SAMPLE_INTERVAL_MS = 100; // each wake-up costs processor time on a vm at rest
 
 /** The load of this process. */
 export class LoadController {
