Let claims cover up to half of what is left

Cause: claims were capped at 30 in 100 of what is left, two seconds of that demand; the cut lasts eight. Change: the cap is half of what is left. The horizon of 8.5 s and the least share of a fifth stand. The price: when every process dies at once, up to half of what is left may be lost instead of a third (docs/PLATFORM.md).

--- a/src/escrow/allotmentPlan.ts
+++ b/src/escrow/allotmentPlan.ts
@@ -49,7 +49,7 @@
 /** All allotments together keep to these parts of what is not spent: a partition from the store may come at any
  * time, and what the holders have in hand when all die at once does not come back. */
 const LEFT_SHARE_MIN = 0.2;
-const LEFT_SHARE_MAX = 0.3;
+const LEFT_SHARE_MAX = 0.5;
 /** Claims when free tokens fall below this part of the target: a partition finds nearly all of it in hand. */
 const CLAIM_LOW_SHARE = 0.9;
 /** Opens more when opened tokens fall below this part of what is desired. */
