Read the newest record of each holder only

Change: of one page the newest readable record of each other holder is taken in; of its own every one, which confirms what it appended. Tests: tests/gateway/ledgerReader.test.ts; of 50 records of a home one is read (50 before), and where the newest can't be read the one before it holds. The interleavings (tests/properties/escrow.test.ts) hold.

--- a/src/escrow/accountShard.ts
+++ b/src/escrow/accountShard.ts
@@ -120,6 +120,7 @@
       store,
       topic,
       logger,
+      vm,
       onRecord: (holder, record) => this.onRecord(holder, record),
     });
     this.ledger = this.reader.ledger;
--- a/src/escrow/ledgerReader.ts
+++ b/src/escrow/ledgerReader.ts
@@ -11,6 +11,8 @@
   readonly store: KeyedStore;
   readonly topic: Topic;
   readonly logger: Logger;
+  /** This process's own vm, each of whose records is read. */
+  readonly vm: VmId;
   /** Called for each account that is read. */
   readonly onRecord: (holder: VmId, record: HolderRecord) => void;
 }
@@ -50,7 +52,7 @@
       if (page.err) {
         return Err(page.val);
       }
-      page.val.records.forEach((record) => this.applyRecord(record));
+      this.applyRecords(page.val.records);
       this.offset = page.val.next;
       if (this.offset >= page.val.end) {
         return Ok(this.offset);
@@ -70,18 +72,35 @@
     return this.readToEnd();
   }
 
-  /** Bytes of someone else name no account; the newest one that could be read holds. */
-  private applyRecord({ key, value, offset }: KeyedRecord): void {
+  /** Takes in the newest record of each other holder: a record is a holder's whole state, and homes write several a second. */
+  private applyRecords(records: readonly KeyedRecord[]): void {
+    const isRead = new Set<string>();
+    records
+      .filter(({ key }) => key === this.options.vm)
+      .forEach((record) => this.applyRecord(record));
+    records
+      .filter(({ key }) => key !== this.options.vm)
+      .reverse()
+      .forEach((record) => {
+        if (!isRead.has(record.key) && this.applyRecord(record)) {
+          isRead.add(record.key);
+        }
+      });
+  }
+
+  /** Returns whether a record could be read. Bytes of someone else name no account; the newest one that could be read holds. */
+  private applyRecord({ key, value, offset }: KeyedRecord): boolean {
     const { logger, onRecord } = this.options;
     if (value === undefined) {
-      return;
+      return false;
     }
     const decoded = decodeHolderRecord(value);
     if (decoded.err) {
       logger.warn('malformed account', { key, offset, detail: decoded.val });
-      return;
+      return false;
     }
     this.ledger.apply(key as VmId, decoded.val);
     onRecord(key as VmId, decoded.val);
+    return true;
   }
 }
--- /dev/null
+++ b/tests/gateway/ledgerReader.test.ts
@@ -0,0 +1,82 @@
+import { test } from 'node:test';
+import { expect } from 'earl';
+import { createLogger } from '../../src/core/logging.js';
+import { VirtualTimers } from '../../src/core/timers.js';
+import { encodeHolderRecord } from '../../src/escrow/holderRecord.js';
+import { LedgerReader } from '../../src/escrow/ledgerReader.js';
+import {
+  brandId,
+  type BudgetId,
+  type Incarnation,
+  type Offset,
+  type VmId,
+} from '../../src/types/ids.js';
+import { createStoreFaults, FakeStore, FakeStoreServer } from '../support/fakeStore.js';
+import { PausableTimers } from '../support/pausableTimers.js';
+
+const TOPIC = { name: 'accounts', part: 0 };
+const BUDGET: BudgetId = brandId('yard');
+const OWN: VmId = brandId('own');
+
+function createReader() {
+  const timers = new VirtualTimers();
+  const server = new FakeStoreServer(timers);
+  const seen: string[] = [];
+  const reader = new LedgerReader({
+    store: new FakeStore(server, new PausableTimers(timers), createStoreFaults()),
+    topic: TOPIC,
+    logger: createLogger({ level: 'error' }),
+    vm: OWN,
+    onRecord: (holder, { sequence }) => seen.push(`${holder} ${sequence}`),
+  });
+  const put = (holder: VmId, value: Uint8Array) => {
+    const at = server.getRecords(TOPIC).length as Offset;
+    server.append({ topic: TOPIC, key: holder, value, at });
+  };
+  const putClaim = (holder: VmId, sequence: number, claimed: number) => {
+    const balance = {
+      claimed,
+      opened: 0,
+      settled: 0,
+      lost: 0,
+      wanted: 0,
+      total: 0,
+      totalVersion: 0,
+    };
+    const balances = new Map([[BUDGET, balance]]);
+    const run = brandId<Incarnation>('run');
+    put(
+      holder,
+      encodeHolderRecord({ run, sequence, address: 'a', cores: 1, witnesses: [], balances }),
+    );
+  };
+  const read = async () => {
+    const done = reader.readToEnd();
+    await timers.advance(100);
+    expect((await done).ok).toEqual(true);
+  };
+  return { reader, seen, put, putClaim, read };
+}
+
+test('of many records of one holder the newest is read, and each of this process', async () => {
+  const { reader, seen, putClaim, read } = createReader();
+  await read();
+  for (let sequence = 1; sequence <= 50; sequence += 1) {
+    putClaim(brandId('home'), sequence, sequence * 10);
+  }
+  putClaim(OWN, 1, 7);
+  putClaim(OWN, 2, 8);
+  await read();
+  expect(seen).toEqual(['own 1', 'own 2', 'home 50']);
+  expect(reader.ledger.getClaimed(BUDGET)).toEqual(508);
+});
+
+test('where the newest record can not be read, the one before it holds', async () => {
+  const { reader, put, putClaim, read } = createReader();
+  await read();
+  putClaim(brandId('home'), 1, 10);
+  putClaim(brandId('home'), 2, 20);
+  put(brandId('home'), Buffer.from('someone else'));
+  await read();
+  expect(reader.ledger.getClaimed(BUDGET)).toEqual(20);
+});
