--- a/src/core/codes.ts
+++ b/src/core/codes.ts
@@ -158,19 +158,19 @@
     'The request can not start before its deadline.',
   ),
   draining: entry(3003, 503, 'server_error', 'not_run', 'The router is shutting down.'),
-  overloaded: entry(
-    3005,
+  notReady: entry(
+    3004,
     503,
     'server_error',
     'not_run',
-    'This router has more calls than it can serve in time; others have room.',
+    'The router has no proven configuration yet.',
   ),
-  notReady: entry(
-    3004,
+  overloaded: entry(
+    3005,
     503,
     'server_error',
     'not_run',
-    'The router has no proven configuration yet.',
+    'This router has more calls than it can serve in time; others have room.',
   ),
   noEndpoint: entry(
     4001,
--- a/src/gateway/endpointDirectory.ts
+++ b/src/gateway/endpointDirectory.ts
@@ -28,13 +28,13 @@
   /** Until when the endpoint gets no call of this process, after it refused one or could not be reached. */
   fullUntil = 0;
 
+  /** Until when the endpoint asked this process for no call. */
+  sparedUntil = 0;
+
   constructor(public entry: EndpointEntry) {
     this.isLeaving = entry.state === 'leaving';
   }
 
-  /** Until when the endpoint asked this process for no call. */
-  sparedUntil = 0;
-
   /** Returns whether a call may be sent there at all. */
   isPermitted(nowMs: number): boolean {
     return !this.isLeaving && this.sparedUntil <= nowMs;
