--- a/src/gateway/forward/endpointTry.ts
+++ b/src/gateway/forward/endpointTry.ts
@@ -2,7 +2,7 @@
 import type { Agent } from 'node:http';
 import type { SuspectController } from '../../controllers/suspectController.js';
 import type { Logger } from '../../core/logging.js';
-import type { TimerService } from '../../core/timers.js';
+import type { TimerService, Unsubscribe } from '../../core/timers.js';
 import type { AnswerFacts, HeaderCodec } from '../../types/gateway.js';
 import type { GatewayCall } from '../call.js';
 import type { EndpointDirectory, KnownEndpoint } from '../endpointDirectory.js';
@@ -53,6 +53,8 @@
 
   private isStopped = false;
 
+  private cancelAbandoned: Unsubscribe = () => {};
+
   private resolveStopped: () => void = () => {};
 
   constructor(private readonly options: EndpointTryOptions) {
@@ -79,6 +81,7 @@
     });
     const ended = this.handleAnswer();
     const release = () => {
+      this.cancelAbandoned();
       endpoint.inFlight -= 1;
       this.recordRead();
     };
@@ -97,7 +100,7 @@
       this.sent.abort();
     } else {
       // What still comes would go to nobody; an endpoint that never ends must not keep the connection.
-      timers.subscribe(ABANDONED_MS_MAX, () => this.sent.abort());
+      this.cancelAbandoned = timers.subscribe(ABANDONED_MS_MAX, () => this.sent.abort());
     }
     this.resolveStopped();
   }
