--- a/bench/run.ts
+++ b/bench/run.ts
@@ -3,6 +3,7 @@
 import { billingBench } from './billing.js';
 import { budgetsBench } from './budgets.js';
 import { fleetBench } from './fleet.js';
+import { gatewayBench } from './gateway.js';
 import { processesBench } from './processes.js';
 import { relayBench } from './relay.js';
 import { socketsBench } from './sockets.js';
@@ -14,6 +15,7 @@
 const benches: readonly Bench[] = [
   slopesBench,
   startBench,
+  gatewayBench,
   fleetBench,
   budgetsBench,
   surgeBench,
--- a/eslint.config.mjs
+++ b/eslint.config.mjs
@@ -19,7 +19,7 @@
       '@typescript-eslint/no-use-before-define': ['error', { functions: false, classes: false }],
       'import-x/no-extraneous-dependencies': [
         'error',
-        { devDependencies: ['bench/**', 'tests/**', 'eslint.config.mjs'] },
+        { devDependencies: ['bench/**', 'tests/**', 'launch/bundle.mjs', 'eslint.config.mjs'] },
       ],
       // node:test registers tests by calls whose promises nobody awaits.
       '@typescript-eslint/no-floating-promises': 'off',
--- a/src/core/results.ts
+++ b/src/core/results.ts
@@ -1,9 +1,12 @@
 /**
- * The result types of ts-results. The package is CommonJS whose names Node can't see from a module, so
- * they are taken from its default export here, once.
+ * The result types of ts-results. The package is CommonJS: Node shows it to a module as a default export, and a bundler
+ * by its names, so they are taken from either here, once.
  */
-import tsResults from 'ts-results';
+import * as library from 'ts-results';
 
-export const { Ok, Err } = tsResults;
+const namespace: object = library;
+const names = 'default' in namespace ? (namespace.default as typeof library) : library;
+
+export const { Ok, Err } = names;
 
 export type { Result } from 'ts-results';
--- a/src/core/settings.ts
+++ b/src/core/settings.ts
@@ -2,7 +2,7 @@
 import { readFileSync } from 'node:fs';
 import { parse, TomlError } from 'smol-toml';
 import { Err, Ok, type Result } from './results.js';
-import { z } from 'zod';
+import * as z from 'zod';
 import { getErrorMessage } from './utilities.js';
 
 const ms = (value: number) => z.int().min(1).max(86_400_000).default(value);
--- a/src/core/shapes.ts
+++ b/src/core/shapes.ts
@@ -1,5 +1,5 @@
 /** Checks what comes from outside against a schema, with errors that name the field. */
-import type { z } from 'zod';
+import type * as z from 'zod';
 import { Err, Ok, type Result } from './results.js';
 import { getErrorMessage } from './utilities.js';
 
--- a/src/escrow/holderRecord.ts
+++ b/src/escrow/holderRecord.ts
@@ -3,7 +3,7 @@
  * record of each holder is all that anybody needs, however long the history is kept.
  */
 import { decode, encode } from '@msgpack/msgpack';
-import { z } from 'zod';
+import * as z from 'zod';
 import type { Result } from '../core/results.js';
 import { checkShape } from '../core/shapes.js';
 import type { BudgetId, Incarnation, VmId } from '../types/ids.js';
--- a/src/filters/validate.ts
+++ b/src/filters/validate.ts
@@ -1,6 +1,6 @@
 /** Checks path and body. */
 import { Err, Ok, type Result } from '../core/results.js';
-import { z } from 'zod';
+import * as z from 'zod';
 import { Filter, type Exchange, type FilterResult, type Route } from '../types/exchange.js';
 import { createRefusal, type Refusal } from '../core/codes.js';
 
--- a/src/relay/plainChat.ts
+++ b/src/relay/plainChat.ts
@@ -1,5 +1,5 @@
 /** Relays a chat answer that is sent in one piece. */
-import { z } from 'zod';
+import * as z from 'zod';
 import type { ChatBody } from '../types/exchange.js';
 import type { KeptAnswer } from '../controllers/claimController.js';
 import {
--- a/src/rules/parser.ts
+++ b/src/rules/parser.ts
@@ -1,5 +1,5 @@
 /** Parses scanned lines into rules, each by a schema of its fields. */
-import { z } from 'zod';
+import * as z from 'zod';
 import { Err, Ok, type Result } from '../core/results.js';
 import type { Rule } from '../types/rules.js';
 import { createDiagnostic, type Diagnostic } from './diagnostics.js';
--- a/src/transports/httpVmList.ts
+++ b/src/transports/httpVmList.ts
@@ -4,7 +4,7 @@
  */
 import { Agent, request } from 'undici';
 import { Err, Ok, type Result } from '../core/results.js';
-import { z } from 'zod';
+import * as z from 'zod';
 import { VmList, type Vm } from '../types/platform.js';
 import { getErrorMessage } from '../core/utilities.js';
 
--- /dev/null
+++ b/standins/storeStandin.ts
@@ -0,0 +1,122 @@
+/** A stand-in of the platform's store: keyed topics with one partition each, over HTTP. */
+import type { IncomingMessage, ServerResponse } from 'node:http';
+import { storePaths } from '../platform/names.js';
+import { encodeKeyedRecord } from '../platform/recordCodec.js';
+import { HttpStandin, readAll, sendJson } from './httpStandin.js';
+
+const LENGTH_BYTES = 4;
+const OFFSET_BYTES = 8;
+const PAGE_RECORDS_MAX = 500;
+
+interface StoredRecord {
+  readonly key: string;
+  readonly value: Buffer;
+  readonly bytes: Buffer;
+}
+
+/** One topic with the reads that wait for its next record. */
+class StoredTopic {
+  readonly records: StoredRecord[] = [];
+
+  private readonly waiting = new Set<() => void>();
+
+  append(bytes: Buffer): void {
+    const keyLength = bytes[LENGTH_BYTES]!;
+    const valueStart = LENGTH_BYTES + 1 + keyLength;
+    const key = bytes.toString('utf8', LENGTH_BYTES + 1, valueStart);
+    this.records.push({ key, value: bytes.subarray(valueStart), bytes });
+    this.waiting.forEach((wake) => wake());
+    this.waiting.clear();
+  }
+
+  /** Resolves with the next record, or after a time. */
+  async waitForRecord(waitMs: number): Promise<void> {
+    await new Promise<void>((resolve) => {
+      const timer = setTimeout(resolve, waitMs);
+      this.waiting.add(() => {
+        clearTimeout(timer);
+        resolve();
+      });
+    });
+  }
+}
+
+/** The store, with the calls that it answered counted by path. */
+export class StoreStandin extends HttpStandin {
+  readonly calls = new Map<string, number>();
+
+  private readonly topics = new Map<string, StoredTopic>();
+
+  /** Stores a record whatever the topic's end. */
+  put(topic: string, key: string, value: unknown): void {
+    this.getTopic(topic).append(encodeKeyedRecord(key, Buffer.from(JSON.stringify(value))));
+  }
+
+  protected async handle(message: IncomingMessage, response: ServerResponse): Promise<void> {
+    const url = new URL(message.url ?? '/', 'http://store');
+    const name = `${url.searchParams.get('topic')}/${url.searchParams.get('part')}`;
+    const call = `${url.pathname} ${name}`;
+    this.calls.set(call, (this.calls.get(call) ?? 0) + 1);
+    const topic = this.getTopic(name.replace(/\/0$/, ''));
+    const body = await readAll(message);
+    switch (url.pathname) {
+      case storePaths.append:
+        this.append(topic, body, url.searchParams.get('at'), response);
+        break;
+      case storePaths.read:
+        await StoreStandin.read(topic, url.searchParams, response);
+        break;
+      case storePaths.newest:
+        StoreStandin.readNewest(topic, url.searchParams.get('after') ?? '', response);
+        break;
+      default:
+        sendJson(response, 404, {});
+    }
+  }
+
+  private getTopic(name: string): StoredTopic {
+    const topic = this.topics.get(name) ?? new StoredTopic();
+    this.topics.set(name, topic);
+    return topic;
+  }
+
+  private append(
+    topic: StoredTopic,
+    bytes: Buffer,
+    at: string | null,
+    response: ServerResponse,
+  ): void {
+    const isPossible = at === null || Number(at) === topic.records.length;
+    if (isPossible) {
+      topic.append(bytes);
+    }
+    sendJson(response, isPossible ? 200 : 412, { endOffset: topic.records.length });
+  }
+
+  private static async read(
+    topic: StoredTopic,
+    query: URLSearchParams,
+    response: ServerResponse,
+  ): Promise<void> {
+    const from = Number(query.get('from'));
+    const waitMs = Number(query.get('waitMs') ?? 0);
+    if (waitMs > 0 && from >= topic.records.length) {
+      await topic.waitForRecord(waitMs);
+    }
+    const head = Buffer.alloc(2 * OFFSET_BYTES);
+    head.writeBigUInt64BE(BigInt(topic.records.length));
+    response.end(Buffer.concat([head, ...topic.records.slice(from).map(({ bytes }) => bytes)]));
+  }
+
+  private static readNewest(topic: StoredTopic, after: string, response: ServerResponse): void {
+    const newest = new Map(topic.records.map(({ key, value }, offset) => [key, { value, offset }]));
+    const left = [...newest].filter(([key]) => key > after).sort(([a], [b]) => (a < b ? -1 : 1));
+    const entries = left.slice(0, PAGE_RECORDS_MAX).map(([key, { value, offset }]) => ({
+      key,
+      data: value.toString('base64'),
+      offset,
+    }));
+    const hasMore = left.length > entries.length;
+    sendJson(response, 200, { entries, hasMore, endOffset: topic.records.length });
+  }
+}
