Log failed attempts with the parts of their prompts

Each failed attempt now logs endpoint, start of the endpoint, failure, reason, time since the send, whether the first event had come, and the parts; 'call ended' logs the parts.

No decision changes.

--- a/src/gateway/forward/endpointAttempt.ts
+++ b/src/gateway/forward/endpointAttempt.ts
@@ -49,6 +49,8 @@
 
   private readonly promptTokens: number;
 
+  private readonly sentAt: number;
+
   private isPrefillDone = false;
 
   private isStopped = false;
@@ -60,6 +62,7 @@
   constructor(private readonly options: EndpointAttemptOptions) {
     const { call, endpoint, timers, agent } = options;
     this.promptTokens = call.metadata.tokens?.prompt ?? 0;
+    this.sentAt = timers.now();
     endpoint.inFlight += 1;
     endpoint.pendingPrefillTokens += this.promptTokens;
     this.endpointCall = new EndpointCall({
@@ -138,7 +141,7 @@
       case 'aborted':
         return { kind: 'aborted' };
       default:
-        return this.fail(result.kind);
+        return this.fail(result.kind, result.detail);
     }
   }
 
@@ -192,7 +195,7 @@
     const { stream, endpoint, timers, suspects, call } = this.options;
     const result = await stream!.relay(response, metadata);
     if (result.kind === 'broken') {
-      return this.isStopped ? { kind: 'aborted' } : this.fail('broken');
+      return this.isStopped ? { kind: 'aborted' } : this.fail('broken', result.detail);
     }
     endpoint.breaker.record(true, timers.now());
     suspects.recordSuccess(call.digest);
@@ -206,7 +209,7 @@
     const { call, endpoint, timers, suspects } = this.options;
     const body = await readResponseBody(response);
     if (!body) {
-      return this.isStopped ? { kind: 'aborted' } : this.fail('broken');
+      return this.isStopped ? { kind: 'aborted' } : this.fail('broken', 'response truncated');
     }
     if (metadata.status >= SERVER_ERROR_STATUS && this.isFailoverPossible()) {
       return this.fail('serverError');
@@ -242,8 +245,9 @@
     return Promise.resolve(this.fail(failure));
   }
 
-  private fail(failure: AttemptFailure): AttemptResult {
+  private fail(failure: AttemptFailure, detail?: string): AttemptResult {
     const { endpoint, timers, suspects, call } = this.options;
+    this.logFailure(failure, detail);
     endpoint.breaker.record(false, timers.now());
     if (failure === 'unreachable') {
       endpoint.backoffUntil = timers.now() + UNREACHABLE_BACKOFF_MS;
@@ -253,6 +257,20 @@
     }
     return { kind: 'failed', failure };
   }
+
+  private logFailure(failure: AttemptFailure, detail: string | undefined): void {
+    const { call, endpoint, timers, logger } = this.options;
+    logger.info('attempt failed', {
+      request: call.metadata.id,
+      endpoint: endpoint.entry.id,
+      startedAtMs: endpoint.entry.startedAtMs,
+      failure,
+      detail,
+      sentMsAgo: Math.round(timers.now() - this.sentAt),
+      isPrefillDone: this.isPrefillDone,
+      promptParts: call.metadata.promptParts.map(({ id }) => id),
+    });
+  }
 }
 
 function isSuccess({ status }: ResponseMetadata): boolean {
--- a/src/gateway/gatewayServer.ts
+++ b/src/gateway/gatewayServer.ts
@@ -294,6 +294,7 @@
       detail: refusal?.detail,
       retryAfterMs: refusal?.retryAfterMs,
       attempts: call.attempts,
+      promptParts: metadata.promptParts.map(({ id }) => id),
       hold: call.hold?.tokens,
       holdGrantedAfterMs: call.holdGrantedAfterMs,
       firstEventAfterMs: call.firstEventAfterMs,
