Treat a stream that ends inside an event as broken off

Callers of an endpoint that stopped inside an event and closed in order got a complete success with half an event: the relay sent the bytes after the last whole event and ended the response. A stream without a length that ended before its first event was a success too. Cause: completeness was judged by the framing alone; without a length or chunks the framing ends with the connection, whatever was left unsaid.

Now bytes of an event that was not finished (comments don't count) make the attempt broken, whatever the framing, and so does the end of a stream without length or chunks before any event. The caller's connection is cut, or the stream resumes after the last whole event where it may. Whole answers that end with their connection are held by endpointCall.test.ts. Ruled out: resets; detectReset finds those (truncatedResponse.test.ts, passed before). A stream without a length that ends in order between two events can't be told from a whole one.

--- a/src/gateway/forward/endpointCall.ts
+++ b/src/gateway/forward/endpointCall.ts
@@ -133,7 +133,7 @@
 }
 
 /** Returns whether the response ends only with its connection. */
-function isCloseDelimited({ headers, statusCode = 0 }: IncomingMessage): boolean {
+export function isCloseDelimited({ headers, statusCode = 0 }: IncomingMessage): boolean {
   const hasNoBody = statusCode === 204 || statusCode === 304;
   return (
     !hasNoBody &&
--- a/src/gateway/forward/eventSplitter.ts
+++ b/src/gateway/forward/eventSplitter.ts
@@ -11,6 +11,8 @@
 const EVENT_BYTES_MAX = 262_144;
 const LINE_FEED = 0x0a;
 const CARRIAGE_RETURN = 0x0d;
+/** A line that is neither empty nor a comment. */
+const PARTIAL_EVENT = /(?:^|[\r\n])[^:\r\n]/;
 const ID_FIELD = /(?:^|\n)id: ?([^\r\n]*)/;
 
 /** Buffers bytes until an event is complete. */
@@ -40,6 +42,11 @@
   getRemainder(): Buffer {
     return this.remainder;
   }
+
+  /** Returns whether the bytes after the last complete event hold the start of another one; comments do not. */
+  hasPartialEvent(): boolean {
+    return PARTIAL_EVENT.test(this.getRemainder().toString('latin1'));
+  }
 }
 
 /** Returns the position after the next blank line, or 0 if there is none yet. */
--- a/src/gateway/forward/responseRelay.ts
+++ b/src/gateway/forward/responseRelay.ts
@@ -3,6 +3,7 @@
 import type { TimerService } from '../../core/timers.js';
 import type { ResponseMetadata } from '../../types/gateway.js';
 import type { GatewayCall } from '../call.js';
+import { isCloseDelimited } from './endpointCall.js';
 import { EventSplitter, type StreamEvent } from './eventSplitter.js';
 
 /** How a relayed stream ended. */
@@ -112,13 +113,11 @@
         }
         this.forward(response, metadata, events);
       });
-      response.on('end', () =>
-        resolve(
-          response.complete && isErrorFree()
-            ? this.finish(metadata, splitter.getRemainder())
-            : { kind: 'broken', detail: 'response truncated' },
-        ),
-      );
+      response.on('end', () => {
+        const isWhole = response.complete && isErrorFree();
+        const detail = isWhole ? this.findTruncation(response, splitter) : 'response truncated';
+        resolve(detail === undefined ? this.finish(metadata) : { kind: 'broken', detail });
+      });
       response.on('error', (error) => resolve({ kind: 'broken', detail: error.message }));
       response.on('close', () => resolve({ kind: 'broken', detail: 'response truncated' }));
     });
@@ -148,14 +147,21 @@
     }
   }
 
-  private finish(metadata: ResponseMetadata, remainder: Buffer): RelayResult {
+  /** Returns why a response is truncated although its framing is whole, or `undefined` if it is not. */
+  private findTruncation(response: IncomingMessage, splitter: EventSplitter): string | undefined {
+    if (splitter.hasPartialEvent()) {
+      return 'stream ended inside an event';
+    }
+    return isCloseDelimited(response) && !this.hasSentEvents()
+      ? 'stream ended before its first event'
+      : undefined;
+  }
+
+  private finish(metadata: ResponseMetadata): RelayResult {
     const { call } = this.options;
     if (!call.caller.isHeadSent()) {
       call.caller.sendHead(metadata.status, metadata.forwardedHeaders);
     }
-    if (remainder.length > 0) {
-      call.caller.write(remainder);
-    }
     call.caller.end();
     return { kind: 'complete' };
   }
