--- a/tests/support/gatewayFleet.ts
+++ b/tests/support/gatewayFleet.ts
@@ -34,6 +34,7 @@
 const CONFIG_TOPIC = { name: 'config', part: 0 };
 const ENDPOINT_TOPIC = { name: 'endpoints', part: 0 };
 const HOST = 'yard.example';
+const CRASH_JUDGED_MS = 150;
 
 /** The default caller key of the workspace in `GatewayFleet.configure`. */
 export const CALLER_KEY = 'yard-key';
@@ -363,6 +364,11 @@
     }
   }
 
+  /** Waits longer than the gateway takes to confirm and to judge a crash. */
+  async waitForIdle(): Promise<void> {
+    await this.timers.sleep(CRASH_JUDGED_MS);
+  }
+
   private async close(): Promise<void> {
     this.servers.forEach((server) => {
       server.close();
