--- a/review/lib/fleet.mjs
+++ b/review/lib/fleet.mjs
@@ -400,8 +400,9 @@
     directory,
     hasTrouble: process.env.TROUBLE !== '0',
     onEnd: (cleanup) => cleanups.push(cleanup),
-    /** Starts `count` gateways, each with an address of its own. */
-    async startGateways(count, storeAddress, zones = ['tpe-a', 'tpe-b', 'tpe-c']) {
+    /** Starts `count` gateways, each with an address of its own, up to `staggerMs` after one another. */
+    async startGateways(count, storeAddress, { staggerMs = 0 } = {}) {
+      const zones = ['tpe-a', 'tpe-b', 'tpe-c'];
       const ports = await findFreePorts(3);
       const ips = Array.from({ length: count }, (_, index) => `127.1.0.${40 + index}`);
       const seeds = ips.slice(0, 3).map((ip) => `${ip}:${ports[2]}`);
@@ -417,10 +418,11 @@
             seeds,
           }),
       );
-      created.forEach((gateway) => {
+      for (const gateway of created) {
         gateways.push(gateway);
         gateway.start();
-      });
+        await sleep(Math.random() * staggerMs);
+      }
       await Promise.all(created.map((gateway) => gateway.waitUntilReady()));
       return created;
     },
