--- a/review/1/case.mjs
+++ b/review/1/case.mjs
@@ -85,7 +85,8 @@
 }
 
 await runCase(dirname(fileURLToPath(import.meta.url)), async (context) => {
-  const { recorder, hasTrouble } = context;
+  const { recorder } = context;
+  const hasTrouble = process.env.TROUBLE !== '0';
   const store = new Store();
   store.put('keyed.op', 'config', CONFIG);
   const engines = ['127.1.2.1', '127.1.2.2'].map(
--- a/review/lib/fleet.mjs
+++ b/review/lib/fleet.mjs
@@ -398,7 +398,6 @@
   const context = {
     recorder,
     directory,
-    hasTrouble: process.env.TROUBLE !== '0',
     onEnd: (cleanup) => cleanups.push(cleanup),
     /** Starts `count` gateways, each with an address of its own, up to `staggerMs` after one another. */
     async startGateways(count, storeAddress, { staggerMs = 0 } = {}) {
