Keep connections open until a response has announced their close

Cause: the head of a response from before the stop has no `connection: close`, so the gateway called `socket.end()` after it. That closes one direction only; Node went on parsing requests, and they were forwarded although no response could be written.

Fix: such a connection stays open, its next request is answered, and that response announces the close. The requests of a connection are processed one after another, and one behind a response that closes the connection is dropped before it is forwarded. This covers pipelined requests too, here and in the older router, and ends the count of a request that waited when its caller left.

--- a/src/gateway/gatewayServer.ts
+++ b/src/gateway/gatewayServer.ts
@@ -8,6 +8,7 @@
 import { createDeferred, getErrorMessage } from '../core/utilities.js';
 import { PEER_PATH } from '../peers/peerRpc.js';
 import { handlePeerMessage, type PeerMessageHandler } from '../server/handlePeerMessage.js';
+import { ConnectionQueue } from '../server/connectionQueue.js';
 import { createErrorBody, getErrorStatus } from '../server/errorBody.js';
 import { readBody } from '../server/readBody.js';
 import type { Address, CallerLimits, HeaderCodec } from '../types/gateway.js';
@@ -67,6 +68,8 @@
 
   private readonly openResponses = new Set<ServerResponse>();
 
+  private readonly connections = new ConnectionQueue();
+
   private limits = LIMITS_BEFORE_CONFIG;
 
   private isClosing = false;
@@ -204,14 +207,14 @@
       response,
       () => this.isClosing || this.options.handlers.isOverloaded(),
     );
+    const queued = this.connections.add(message.socket, response);
     this.openResponses.add(response);
-    response.on('close', () => this.onResponseClose(response));
-    // A head sent before the stop began has no `connection: close`.
-    response.on('finish', () => {
-      if (this.isClosing) {
-        message.socket.end();
-      }
-    });
+    const isConnectionOpen = await queued.turn;
+    queued.ended.then(() => this.onResponseEnd(response));
+    if (!isConnectionOpen) {
+      this.drop(message);
+      return;
+    }
     const refusal = this.checkHead(message);
     if (refusal) {
       this.refuse(caller, refusal);
@@ -273,6 +276,17 @@
     return body;
   }
 
+  /** Drops a request whose connection closes after an earlier response; the caller knows that it was not read. */
+  private drop({ url, rawHeaders }: IncomingMessage): void {
+    const { codec, logger, metrics } = this.options;
+    const metadata = codec.readCall(rawHeaders);
+    metrics.requests.inc({ service: '', result: 'dropped' });
+    logger.info('call dropped: its connection closes after an earlier response', {
+      request: 'field' in metadata ? undefined : metadata.id,
+      target: url,
+    });
+  }
+
   /** Sends the refusal, if any, and records the outcome in metrics and log. */
   private finish(call: GatewayCall, refusal: CallOutcome): void {
     const { timers, metrics, logger } = this.options;
@@ -317,7 +331,7 @@
     caller.send(getErrorStatus(refusal), headers, body);
   }
 
-  private onResponseClose(response: ServerResponse): void {
+  private onResponseEnd(response: ServerResponse): void {
     this.openResponses.delete(response);
     this.checkDrained();
   }
--- a/src/server/callerServer.ts
+++ b/src/server/callerServer.ts
@@ -13,6 +13,7 @@
 import { createDeferred, getErrorMessage } from '../core/utilities.js';
 import { PEER_PATH } from '../peers/peerRpc.js';
 import { handlePeerMessage, type PeerMessageHandler } from './handlePeerMessage.js';
+import { ConnectionQueue } from './connectionQueue.js';
 import { createErrorBody, getErrorHeaders, getErrorStatus } from './errorBody.js';
 import { NodeResponse } from './nodeResponse.js';
 import { readBody } from './readBody.js';
@@ -47,6 +48,8 @@
 
   private readonly openResponses = new Set<ServerResponse>();
 
+  private readonly connections = new ConnectionQueue();
+
   private readonly sockets = new Set<Socket>();
 
   private isDraining = false;
@@ -118,6 +121,12 @@
 
   private async handle(message: IncomingMessage, response: ServerResponse): Promise<void> {
     const [path = '/', query] = (message.url ?? '/').split('?');
+    if (!(await this.connections.add(message.socket, response).turn)) {
+      this.options.logger.info('request dropped: its connection closes after an earlier response', {
+        path,
+      });
+      return;
+    }
     const route = `${message.method} ${path}`;
     switch (route) {
       case 'GET /healthz':
--- a/tests/support/gatewayFleet.ts
+++ b/tests/support/gatewayFleet.ts
@@ -33,8 +33,11 @@
 const SERVICE: ServiceName = brandId('engines');
 const CONFIG_TOPIC = { name: 'config', part: 0 };
 const ENDPOINT_TOPIC = { name: 'endpoints', part: 0 };
+const CALL_INTERVAL_MS = 50;
+const SETTLE_MS = 200;
 const POISON_TOPIC = { name: 'poison', part: 0 };
-const HOST = 'yard.example';
+/** The host of all routes. */
+export const HOST = 'yard.example';
 
 /** The default caller key of the workspace in `GatewayFleet.configure`. */
 export const CALLER_KEY = 'yard-key';
@@ -91,6 +94,8 @@
 export interface TestEndpoint {
   readonly id: string;
   readonly calls: IncomingMessage[];
+  /** The responses to `calls`. */
+  readonly responses: ServerResponse[];
 }
 
 /** The response received by a caller. */
@@ -232,8 +237,10 @@
   /** Starts an endpoint and stores its entry. */
   async addEndpoint(id: string, handle: EndpointHandler): Promise<TestEndpoint> {
     const calls: IncomingMessage[] = [];
+    const responses: ServerResponse[] = [];
     const server = createServer((message, response) => {
       calls.push(message);
+      responses.push(response);
       message.resume();
       message.on('end', () => handle(message, response));
     });
@@ -241,7 +248,7 @@
     server.listen(0, '127.0.0.1');
     await once(server, 'listening');
     await this.listEndpoint(id, (server.address() as AddressInfo).port);
-    return { id, calls };
+    return { id, calls, responses };
   }
 
   /** Stores the entry of an endpoint that listens on a port. */
@@ -347,6 +354,23 @@
     return values.find(({ labels }) => labels.reason === reason)?.value ?? 0;
   }
 
+  /** Returns the port for callers. */
+  getPort(): number {
+    return this.port;
+  }
+
+  /** Sends calls until one gets the status. */
+  async callUntil(path: string, status: number): Promise<void> {
+    while ((await this.call(path)).status !== status) {
+      await this.timers.sleep(CALL_INTERVAL_MS);
+    }
+  }
+
+  /** Gives the gateway time to act on everything that was sent to it. */
+  settle(): Promise<void> {
+    return this.timers.sleep(SETTLE_MS);
+  }
+
   /** Returns the current time of the gateway's clock. */
   now(): number {
     return this.timers.now();
