Revert a refused account record only if no append of it may still be stored

Cause: an append that returns tokens had no response, the next append of the same record was refused (429), and the refusal reverted the record: the tokens were spent here, while the store executed the first append later and others claimed them too. The next record also took the number of the reverted one, so that each could be taken for the other.

Fix: a record remembers that one of its appends had no response. It is then reverted only when a read shows another record at its offset, which is when its condition can no longer hold. Numbers of reverted records are not reused. The decision is logged as `account record not confirmed`.

--- a/src/escrow/accountShard.ts
+++ b/src/escrow/accountShard.ts
@@ -9,7 +9,7 @@
 import type { TimerService, Unsubscribe } from '../core/timers.js';
 import { getErrorMessage } from '../core/utilities.js';
 import type { BudgetId, Incarnation, Offset, VmId } from '../types/ids.js';
-import type { KeyedStore, Topic } from '../types/store.js';
+import type { KeyedStore, StoreFailure, Topic } from '../types/store.js';
 import type { AccountChange } from './account.js';
 import { LocalAccounts } from './localAccounts.js';
 import { encodeHolderRecord, type HolderRecord } from './holderRecord.js';
@@ -53,6 +53,8 @@
   readonly record: HolderRecord;
   readonly bytes: Uint8Array;
   readonly changes: ReadonlyMap<BudgetId, AccountChange>;
+  /** Whether an append of the record had no response; the store may still execute it while the topic ends at `at`. */
+  mayBeStored: boolean;
 }
 
 /** The outcome of a sync or of one of its rounds. */
@@ -82,8 +84,12 @@
 
   private pending: PendingRecord | undefined;
 
+  /** The sequence number of the last record that was stored. */
   private sequence = 0;
 
+  /** The sequence number of the last record that was created; those of reverted records are not reused. */
+  private createdSequence = 0;
+
   /** The sequence number of the last record whose claims are all activated. */
   private extendedSequence = 0;
 
@@ -483,18 +489,34 @@
       // The record itself may have been stored by an earlier append; the next read shows.
       return 'conflict';
     }
-    if (appended.val.kind === 'refused') {
-      this.revertPending('refused');
-    }
+    this.recordFailedAppend(pending, appended.val);
     this.health.recordFailure(this.reader.getOffset(), JSON.stringify(appended.val));
     return 'failed';
   }
 
+  /** Reverts a refused record, unless an earlier append of it may still be stored; only a later read can tell then. */
+  private recordFailedAppend(pending: PendingRecord, { kind }: StoreFailure): void {
+    if (kind !== 'refused') {
+      pending.mayBeStored = true;
+    } else if (!pending.mayBeStored) {
+      this.revertPending('refused');
+    }
+    const { at, record, mayBeStored } = pending;
+    this.options.logger.info('account record not confirmed', {
+      at,
+      sequence: record.sequence,
+      failure: kind,
+      mayBeStored,
+    });
+  }
+
   private createPending(isFinal: boolean): PendingRecord {
     const { run, address, vm, cores = 0 } = this.options;
     const { changes, balances } = this.accounts.prepare(isFinal);
     const witnesses = chooseWitnesses(this.ledger, vm);
-    const record = { run, sequence: this.sequence + 1, address, cores, witnesses, balances };
-    return { at: this.reader.getOffset()!, record, bytes: encodeHolderRecord(record), changes };
+    this.createdSequence += 1;
+    const record = { run, sequence: this.createdSequence, address, cores, witnesses, balances };
+    const bytes = encodeHolderRecord(record);
+    return { at: this.reader.getOffset()!, record, bytes, changes, mayBeStored: false };
   }
 }
--- a/tests/properties/escrow.test.ts
+++ b/tests/properties/escrow.test.ts
@@ -29,7 +29,7 @@
     : '';
 }
 
-test('no budget is overspent over 1,000 interleavings of kills, partitions, freezes and lost appends', async () => {
+test('no budget is overspent over 1,000 interleavings of kills, partitions, freezes, refused and lost appends', async () => {
   expect(await findOverspend(1_000, SEED)).toEqual('');
 });
 
--- a/tests/properties/escrowModel.ts
+++ b/tests/properties/escrowModel.ts
@@ -43,6 +43,7 @@
       readonly count: number;
       readonly lateMs: number;
     }
+  | { readonly kind: 'refuseCalls'; readonly vm: number; readonly calls: 'appends' | 'all' }
   | { readonly kind: 'slowStore'; readonly vm: number; readonly slowMs: number }
   | { readonly kind: 'forget' }
   | { readonly kind: 'topUp'; readonly tokens: number }
@@ -183,6 +184,9 @@
       case 'delayAppends':
         Object.assign(this.faults[event.vm]!, { lateAppends: event.count, lateMs: event.lateMs });
         break;
+      case 'refuseCalls':
+        this.faults[event.vm]!.refusedCalls = event.calls;
+        break;
       case 'slowStore':
         this.faults[event.vm]!.slowMs = event.slowMs;
         break;
@@ -377,6 +381,14 @@
         lateMs: fc.integer({ min: 10, max: 5_000 }),
       }),
     },
+    {
+      weight: 2,
+      arbitrary: fc.record({
+        kind: fc.constant('refuseCalls' as const),
+        vm: vmIndex,
+        calls: fc.constantFrom('appends' as const, 'all' as const),
+      }),
+    },
     {
       weight: 1,
       arbitrary: fc.record({
--- a/tests/support/fakeStore.ts
+++ b/tests/support/fakeStore.ts
@@ -99,15 +99,25 @@
   /** The number of next appends that get no response and take effect after `lateMs`, if their condition holds then. */
   lateAppends: number;
   lateMs: number;
+  /** Which calls are refused, and have no effect. */
+  refusedCalls: 'none' | 'appends' | 'all';
   slowMs: number;
 }
 
 /** Returns a state without faults. */
 export function createStoreFaults(): StoreFaults {
-  return { isPartitioned: false, lostAnswers: 0, lateAppends: 0, lateMs: 0, slowMs: 0 };
+  return {
+    isPartitioned: false,
+    lostAnswers: 0,
+    lateAppends: 0,
+    lateMs: 0,
+    refusedCalls: 'none',
+    slowMs: 0,
+  };
 }
 
 const UNAVAILABLE = { kind: 'unavailable', detail: 'simulated' } as const;
+const REFUSED = { kind: 'refused', detail: 'simulated' } as const;
 
 /** The store client of one process, subject to its faults. */
 export class FakeStore extends KeyedStore {
@@ -120,11 +130,11 @@
   }
 
   override readNewest(topic: Topic): Promise<Result<NewestRecords, StoreFailure>> {
-    return this.call(() => this.server.readNewest(topic));
+    return this.call(() => this.refuseIf('all') ?? this.server.readNewest(topic));
   }
 
   override read(options: KeyedReadOptions): Promise<Result<KeyedPage, StoreFailure>> {
-    return this.call(() => this.server.read(options));
+    return this.call(() => this.refuseIf('all') ?? this.server.read(options));
   }
 
   override async append(options: KeyedAppendOptions): Promise<Result<Offset, StoreFailure>> {
@@ -138,10 +148,18 @@
     }
     const isLost = faults.lostAnswers > 0;
     faults.lostAnswers -= isLost ? 1 : 0;
-    const result = await this.call(() => server.appendQueued(options));
+    const result = await this.call(
+      () => this.refuseIf('appends', 'all') ?? server.appendQueued(options),
+    );
     return isLost ? this.timeOut() : result;
   }
 
+  private refuseIf(
+    ...states: readonly StoreFaults['refusedCalls'][]
+  ): Result<never, StoreFailure> | undefined {
+    return states.includes(this.faults.refusedCalls) ? Err(REFUSED) : undefined;
+  }
+
   private async call<Value>(
     operation: () => Result<Value, StoreFailure> | Promise<Result<Value, StoreFailure>>,
   ): Promise<Result<Value, StoreFailure>> {
