Bound the memory of responses by what they use, for all of them together

Callers saw (operators' report, shown by tests): a faulty engine sends bytes without end, the gateway keeps them, its process ends for want of memory, and the calls of other callers end with it (LOST).

Cause: limits counted the bytes of each body. 60 endless bodies, each within its limit, held 292 MB in buffers, and one endless body in chunks of one byte took 402 MB of heap, where a process has 160 MB of heap and 350 MB in all. The older router kept an endless event whole.

Fix: bytes are collected in one growing buffer in place of a list of chunks, here and where bodies of callers, the store and peers are read. The bodies being read share 48 MiB; beyond that the largest is given up, so that sound ones, which are small, are kept. The event splitter searches new bytes only, and the older router's parser has a limit.

Tests, failed before: "endless bodies of many calls ..." (292 of 190 MB), "an endless body in chunks of one byte ..." (402 of 160 MB), "an event that does not end ..." (128 MiB read of 32). The endless responses of the existing tests now carry the id of their call; without it they were given up at the head and their bodies never read.

--- a/src/gateway/filters/forwardCall.ts
+++ b/src/gateway/filters/forwardCall.ts
@@ -2,6 +2,7 @@
 import { createRefusal, type CodeName, type Refusal } from '../../core/codes.js';
 import { Err, Ok } from '../../core/results.js';
 import type { Logger } from '../../core/logging.js';
+import { MemoryBudget } from '../../core/memoryBudget.js';
 import type { Metrics } from '../../core/metrics.js';
 import type { TimerService, Unsubscribe } from '../../core/timers.js';
 import { getOrCreate, readPendingInput } from '../../core/utilities.js';
@@ -12,7 +13,11 @@
 import type { GatewayCall } from '../call.js';
 import type { EndpointDirectory, EndpointInstance } from '../endpointDirectory.js';
 import { EndpointAgent } from '../forward/endpointAgent.js';
-import { EndpointAttempt, type AttemptResult } from '../forward/endpointAttempt.js';
+import {
+  EndpointAttempt,
+  type AttemptResult,
+  type EndpointAttemptOptions,
+} from '../forward/endpointAttempt.js';
 import { ServiceRetryBudget } from '../forward/serviceRetryBudget.js';
 import {
   isNotRunFailure,
@@ -40,6 +45,11 @@
   readonly random: () => number;
 }
 
+/** What the attempts of all calls share. */
+type EndpointConnections = Pick<EndpointAttemptOptions, 'agent' | 'responseMemory'>;
+
+/** Sound responses are small; the memory of the process must also hold the bodies of calls. */
+const RESPONSE_BYTES_IN_FLIGHT_MAX = 48 * 1_048_576;
 const NO_ENDPOINT_RETRY_AFTER_MS = 500;
 const REFUSED_RETRY_AFTER_MS = 300;
 
@@ -47,7 +57,10 @@
 export class ForwardCall extends Filter<GatewayCall> {
   override readonly name = 'forwardCall';
 
-  private readonly agent = new EndpointAgent();
+  private readonly connections: EndpointConnections = {
+    agent: new EndpointAgent(),
+    responseMemory: new MemoryBudget({ limitBytes: RESPONSE_BYTES_IN_FLIGHT_MAX }),
+  };
 
   private readonly retryBudgets = new Map<ServiceName, ServiceRetryBudget>();
 
@@ -66,14 +79,14 @@
     return new CallForwarder(
       call,
       this.options,
-      this.agent,
+      this.connections,
       this.getRetryBudget(call.service),
     ).run();
   }
 
   /** Closes idle connections. */
   close(): void {
-    this.agent.destroy();
+    this.connections.agent.destroy();
   }
 
   private getRetryBudget(service: ServiceName): ServiceRetryBudget {
@@ -107,7 +120,7 @@
   constructor(
     private readonly call: GatewayCall,
     private readonly options: ForwardCallOptions,
-    private readonly agent: EndpointAgent,
+    private readonly connections: EndpointConnections,
     private readonly retryBudget: ServiceRetryBudget,
   ) {
     if (call.route.isStream) {
@@ -174,9 +187,15 @@
   }
 
   private async tryEndpoint(endpoint: EndpointInstance): Promise<AttemptResult> {
-    const { call, options, agent, stream } = this;
+    const { call, options, connections, stream } = this;
     this.triedEndpoints.add(endpoint);
-    this.currentAttempt = new EndpointAttempt({ ...options, call, agent, endpoint, stream });
+    this.currentAttempt = new EndpointAttempt({
+      ...options,
+      ...connections,
+      call,
+      endpoint,
+      stream,
+    });
     const result = await this.currentAttempt.run();
     const mayHaveRun = result.kind !== 'failed' || !isNotRunFailure(result.failure);
     this.runCount += mayHaveRun ? 1 : 0;
--- a/src/gateway/forward/endpointAttempt.ts
+++ b/src/gateway/forward/endpointAttempt.ts
@@ -1,6 +1,7 @@
 /** One attempt of a call on one endpoint. Updates the endpoint's state from the response. */
 import type { Agent } from 'node:http';
 import type { Logger } from '../../core/logging.js';
+import type { MemoryBudget } from '../../core/memoryBudget.js';
 import type { TimerService, Unsubscribe } from '../../core/timers.js';
 import type { PoisonController } from '../../poison/poisonController.js';
 import type { ResponseMetadata, HeaderCodec } from '../../types/gateway.js';
@@ -30,6 +31,8 @@
   readonly directory: EndpointDirectory;
   readonly poison: PoisonController;
   readonly agent: Agent;
+  /** Shared by all attempts. */
+  readonly responseMemory: MemoryBudget;
   readonly call: GatewayCall;
   readonly endpoint: EndpointInstance;
   /** Present if the route is streamed. */
@@ -226,9 +229,9 @@
     metadata: ResponseMetadata,
   ): Promise<AttemptResult> {
     const { call, endpoint, timers } = this.options;
-    const body = await readResponseBody(response);
-    if (!body) {
-      return this.isStopped ? { kind: 'aborted' } : this.fail('broken', 'response truncated');
+    const result = await readResponseBody(response, this.options.responseMemory);
+    if (result.kind === 'broken') {
+      return this.isStopped ? { kind: 'aborted' } : this.fail('broken', result.detail);
     }
     if (metadata.status >= SERVER_ERROR_STATUS && this.isFailoverPossible()) {
       return this.fail('serverError');
@@ -242,7 +245,7 @@
       // A buffered response does not state its tokens, so it is charged the declared maximum.
       call.deliveredTokens = Math.max(1, call.metadata.tokens?.maxOutput ?? 0);
     }
-    call.caller.send(metadata.status, metadata.forwardedHeaders, body);
+    call.caller.send(metadata.status, metadata.forwardedHeaders, result.body);
     return { kind: 'done' };
   }
 
--- a/src/gateway/forward/eventSplitter.ts
+++ b/src/gateway/forward/eventSplitter.ts
@@ -1,4 +1,5 @@
 /** Splits the bytes of a server-sent event stream into complete events. */
+import { ByteCollector } from '../../core/byteCollector.js';
 
 /** One complete event, including the blank line that ends it. */
 export interface StreamEvent {
@@ -9,6 +10,8 @@
 
 /** Far above the size of an engine's event, which holds a few tokens. */
 const EVENT_BYTES_MAX = 262_144;
+/** A line feed, an optional carriage return and another line feed. */
+const EVENT_END_BYTES_MAX = 3;
 const LINE_FEED = 0x0a;
 const CARRIAGE_RETURN = 0x0d;
 /** A line that is neither empty nor a comment. */
@@ -17,19 +20,24 @@
 
 /** Buffers bytes until an event is complete. */
 export class EventSplitter {
-  private remainder: Buffer = Buffer.alloc(0);
+  private remainder = new ByteCollector();
 
-  /** Adds bytes and returns the events that they complete. */
+  /** Adds bytes and returns the events that they complete, which are valid until the next call. */
   push(bytes: Buffer): StreamEvent[] {
-    const data = this.remainder.length > 0 ? Buffer.concat([this.remainder, bytes]) : bytes;
+    // Bytes that were searched before hold no complete event, but may hold the start of the end of one.
+    const searchFrom = Math.max(0, this.remainder.length - EVENT_END_BYTES_MAX);
+    this.remainder.append(bytes);
+    const data = this.remainder.getBytes();
     const events: StreamEvent[] = [];
     let start = 0;
-    for (let end = findEventEnd(data, start); end > 0; end = findEventEnd(data, start)) {
+    for (let end = findEventEnd(data, searchFrom); end > 0; end = findEventEnd(data, start)) {
       const event = data.subarray(start, end);
       events.push({ bytes: event, id: ID_FIELD.exec(event.toString('latin1'))?.[1] });
       start = end;
     }
-    this.remainder = data.subarray(start);
+    if (start > 0) {
+      this.remainder = new ByteCollector(data.subarray(start));
+    }
     return events;
   }
 
@@ -40,7 +48,7 @@
 
   /** Returns the bytes after the last complete event. */
   getRemainder(): Buffer {
-    return this.remainder;
+    return this.remainder.getBytes();
   }
 
   /** Returns whether the bytes after the last complete event hold the start of another one; comments do not. */
--- a/src/gateway/forward/responseRelay.ts
+++ b/src/gateway/forward/responseRelay.ts
@@ -1,5 +1,7 @@
 /** Relays the response of an endpoint to the caller, buffered or event by event. */
 import type { IncomingMessage } from 'node:http';
+import { ByteCollector } from '../../core/byteCollector.js';
+import type { MemoryBudget } from '../../core/memoryBudget.js';
 import type { TimerService } from '../../core/timers.js';
 import type { ResponseMetadata } from '../../types/gateway.js';
 import type { GatewayCall } from '../call.js';
@@ -23,27 +25,48 @@
   readonly isErrorFree: () => boolean;
 }
 
-/** Reads the body of a response; `undefined` if it is truncated or too long. */
-export function readResponseBody({
-  message: response,
-  isErrorFree,
-}: IncomingResponse): Promise<Buffer | undefined> {
+/** The body of a response, or the reason why it can't be used. */
+export type BodyResult =
+  | { readonly kind: 'complete'; readonly body: Buffer }
+  | { readonly kind: 'broken'; readonly detail: string };
+
+/** Reads the body of a response. Gives up one that is truncated or too long, alone or together with other bodies. */
+export function readResponseBody(
+  { message: response, isErrorFree }: IncomingResponse,
+  memory: MemoryBudget,
+): Promise<BodyResult> {
   return new Promise((resolve) => {
-    const chunks: Buffer[] = [];
-    let length = 0;
+    const body = new ByteCollector();
+    const giveUp = (detail: string) => {
+      resolve({ kind: 'broken', detail });
+      response.destroy();
+    };
+    const share = memory.open((usedBytes) =>
+      giveUp(`the largest of the responses being read, which hold ${usedBytes} bytes`),
+    );
+    const fail = () => resolve({ kind: 'broken', detail: 'response truncated' });
     response.on('data', (chunk: Buffer) => {
-      length += chunk.length;
-      if (length > BUFFERED_BODY_BYTES_MAX) {
-        response.destroy();
+      if (response.destroyed) {
+        return;
+      }
+      body.append(chunk);
+      share.add(chunk.length);
+      if (body.length > BUFFERED_BODY_BYTES_MAX) {
+        giveUp(`response exceeds ${BUFFERED_BODY_BYTES_MAX} bytes`);
+      }
+    });
+    response.on('end', () => {
+      if (response.complete && isErrorFree()) {
+        resolve({ kind: 'complete', body: body.getBytes() });
       } else {
-        chunks.push(chunk);
+        fail();
       }
     });
-    response.on('end', () =>
-      resolve(response.complete && isErrorFree() ? Buffer.concat(chunks) : undefined),
-    );
-    response.on('error', () => resolve(undefined));
-    response.on('close', () => resolve(undefined));
+    response.on('error', fail);
+    response.on('close', () => {
+      share.close();
+      fail();
+    });
   });
 }
 
--- a/src/peers/peerRpc.ts
+++ b/src/peers/peerRpc.ts
@@ -7,6 +7,7 @@
   type JSONRPCRequest,
   type JSONRPCResponse,
 } from 'json-rpc-2.0';
+import { ByteCollector } from '../core/byteCollector.js';
 import type { VmId } from '../types/ids.js';
 import { PeerClient, type PeerMethod, type PeerMethods } from '../types/peers.js';
 
@@ -103,16 +104,14 @@
       const clientRequest = request(url, { method: 'POST', headers, agent: this.agent, signal });
       clientRequest.on('error', reject);
       clientRequest.on('response', (response) => {
-        const chunks: Buffer[] = [];
-        let length = 0;
+        const received = new ByteCollector();
         response.on('data', (chunk: Buffer) => {
-          length += chunk.length;
-          chunks.push(chunk);
-          if (length > RESPONSE_BYTES_MAX) {
+          received.append(chunk);
+          if (received.length > RESPONSE_BYTES_MAX) {
             clientRequest.destroy(new Error(`response exceeds ${RESPONSE_BYTES_MAX} bytes`));
           }
         });
-        response.on('end', () => resolve(Buffer.concat(chunks).toString()));
+        response.on('end', () => resolve(received.getBytes().toString()));
         response.on('error', reject);
       });
       clientRequest.end(body);
--- a/src/relay/readResponseBody.ts
+++ b/src/relay/readResponseBody.ts
@@ -1,4 +1,5 @@
 /** Reads the body of a response into memory. */
+import { ByteCollector } from '../core/byteCollector.js';
 import { Err, Ok, type Result } from '../core/results.js';
 import { EndpointError, type EndpointResponse, type EndpointFailure } from '../types/endpoints.js';
 
@@ -9,13 +10,11 @@
 export async function readResponseBody(
   response: EndpointResponse,
 ): Promise<Result<Uint8Array, EndpointFailure>> {
-  const chunks: Uint8Array[] = [];
-  let length = 0;
+  const body = new ByteCollector();
   try {
     for await (const chunk of response.body) {
-      chunks.push(chunk);
-      length += chunk.length;
-      if (length > RESPONSE_BYTES_MAX) {
+      body.append(chunk);
+      if (body.length > RESPONSE_BYTES_MAX) {
         response.abort();
         return Err({ kind: 'silent', detail: `the answer is over ${RESPONSE_BYTES_MAX} bytes` });
       }
@@ -26,5 +25,5 @@
     }
     throw error;
   }
-  return Ok(Buffer.concat(chunks));
+  return Ok(body.getBytes());
 }
--- a/src/relay/streamedChat.ts
+++ b/src/relay/streamedChat.ts
@@ -15,6 +15,8 @@
 import { createChatCall, checkErrorStatus } from './chatCall.js';
 import { ChatStream } from './chatStream.js';
 
+/** Far above the size of an event, which holds a few tokens. */
+const EVENT_CHARACTERS_MAX = 262_144;
 const SSE_HEADERS = {
   'content-type': 'text/event-stream',
   'cache-control': 'no-cache',
@@ -90,7 +92,14 @@
     startedAt: number,
   ): Promise<AttemptResult> {
     const events: string[] = [];
-    const parser = createParser({ onEvent: ({ data }) => events.push(data) });
+    let isOverlong = false;
+    const parser = createParser({
+      maxBufferSize: EVENT_CHARACTERS_MAX,
+      onEvent: ({ data }) => events.push(data),
+      onError: ({ type }) => {
+        isOverlong ||= type === 'max-buffer-size-exceeded';
+      },
+    });
     const decoder = new StringDecoder('utf8');
     let firstTokenMs: number | undefined;
     try {
@@ -104,6 +113,9 @@
         if (result) {
           return result;
         }
+        if (isOverlong) {
+          return this.abortAttempt(attempt, endpointResponse, 'broken', 'an event is too long');
+        }
       }
     } catch (error) {
       return this.handleBodyError(attempt, error);
@@ -209,7 +221,7 @@
   private abortAttempt(
     attempt: Attempt,
     endpointResponse: EndpointResponse,
-    reason: 'crossed' | 'cut' | 'serverError',
+    reason: 'broken' | 'crossed' | 'cut' | 'serverError',
     detail: string,
   ): AttemptResult {
     endpointResponse.abort();
--- a/src/server/readBody.ts
+++ b/src/server/readBody.ts
@@ -1,5 +1,6 @@
 /** Reads request bodies within limits of size and time. */
 import type { IncomingMessage } from 'node:http';
+import { ByteCollector } from '../core/byteCollector.js';
 import { Err, Ok, type Result } from '../core/results.js';
 import { createRefusal, type Refusal } from '../core/codes.js';
 import type { TimerService, Unsubscribe } from '../core/timers.js';
@@ -18,8 +19,7 @@
 ): Promise<Result<Uint8Array, Refusal>> {
   const { timers, bodyBytes, bodyTimeoutMs } = limits;
   return new Promise((resolve) => {
-    const chunks: Uint8Array[] = [];
-    let length = 0;
+    const body = new ByteCollector();
     let cancel: Unsubscribe = () => {};
     const finish = (result: Result<Uint8Array, Refusal>) => {
       cancel();
@@ -29,14 +29,13 @@
     };
     cancel = timers.subscribe(bodyTimeoutMs, () => finish(Err(createRefusal('bodyTimeout'))));
     message.on('data', (chunk: Uint8Array) => {
-      chunks.push(chunk);
-      length += chunk.length;
-      if (length > bodyBytes) {
+      body.append(chunk);
+      if (body.length > bodyBytes) {
         const detail = `the body is over ${bodyBytes} bytes`;
         finish(Err(createRefusal('bodyTooLarge', { detail })));
       }
     });
-    message.on('end', () => finish(Ok(Buffer.concat(chunks))));
+    message.on('end', () => finish(Ok(body.getBytes())));
     message.on('error', () => finish(Err(createRefusal('bodyTimeout'))));
   });
 }
--- a/standins/engineStandin.ts
+++ b/standins/engineStandin.ts
@@ -1,5 +1,6 @@
 /** A stand-in for a model engine: streams generated words at a set rate and injects faults on request. */
 import { createHash } from 'node:crypto';
+import { once } from 'node:events';
 import type { IncomingMessage, ServerResponse } from 'node:http';
 import { LRUCache } from 'lru-cache';
 import { HttpStandin, readMessageBody, sendJson, sleep } from './httpStandin.js';
@@ -39,6 +40,8 @@
   lateMs: number;
   /** Number of tokens after which a stream's connection is closed. */
   breakAfter: number;
+  /** Number of next streams whose first event does not end. */
+  endless: number;
 }
 
 /** Crashes the engine when a prompt contains it. */
@@ -47,6 +50,9 @@
 const BYTES_PER_TOKEN = 4;
 const PREFIX_CHARACTERS = 256;
 const LOAD_SAMPLES_MAX = 1_000;
+const ENDLESS_TEXT = 'x'.repeat(65_536);
+/** Spares the memory of a router that keeps all of them. */
+const ENDLESS_BYTES_MAX = 128 * 1_048_576;
 const WORDS = ['pole', 'roll', 'ash', 'ferrule', 'pile', 'dye', 'quote', 'offcut', 'river', 'shop'];
 
 export class EngineStandin extends HttpStandin {
@@ -57,6 +63,7 @@
     leaving: false,
     lateMs: 0,
     breakAfter: Number.POSITIVE_INFINITY,
+    endless: 0,
   };
 
   startedRequests = 0;
@@ -64,6 +71,9 @@
   /** Number of requests whose caller disconnected before the end of the stream. */
   cancelledRequests = 0;
 
+  /** Bytes sent of events that do not end. */
+  endlessBytes = 0;
+
   /** Number of requests whose prompt prefix was cached. */
   cacheHits = 0;
 
@@ -91,6 +101,7 @@
         ...this.faults,
         started: this.startedRequests,
         cancelled: this.cancelledRequests,
+        endlessBytes: this.endlessBytes,
       });
       return;
     }
@@ -213,6 +224,11 @@
     }
     await this.waitWhileFrozen(response);
     response.writeHead(200, { 'content-type': 'text/event-stream', 'x-request-id': id });
+    if (this.faults.endless > 0) {
+      this.faults.endless -= 1;
+      await this.sendEndlessEvent(response);
+      return;
+    }
     const send = (rest: object) => {
       response.write(
         `data: ${JSON.stringify({ ...head, object: 'chat.completion.chunk', ...rest })}\n\n`,
@@ -236,6 +252,18 @@
     response.end('data: [DONE]\n\n');
   }
 
+  /** Sends one event until the caller closes the connection. */
+  private async sendEndlessEvent(response: ServerResponse): Promise<void> {
+    const closed = once(response, 'close');
+    while (!response.destroyed && this.endlessBytes < ENDLESS_BYTES_MAX) {
+      this.endlessBytes += ENDLESS_TEXT.length;
+      if (!response.write(ENDLESS_TEXT)) {
+        await Promise.race([once(response, 'drain'), closed]);
+      }
+    }
+    await closed;
+  }
+
   private waitWhileFrozen(response: ServerResponse): Promise<void> {
     return this.waitWhile(() => this.faults.frozen, response);
   }
--- a/tests/gateway/endpointCall.test.ts
+++ b/tests/gateway/endpointCall.test.ts
@@ -3,6 +3,7 @@
 import { test, type TestContext } from 'node:test';
 import { expect } from 'earl';
 import { SystemTimers } from '../../src/core/timers.js';
+import { MemoryBudget } from '../../src/core/memoryBudget.js';
 import { readResponseBody } from '../../src/gateway/forward/responseRelay.js';
 import { EndpointAgent } from '../../src/gateway/forward/endpointAgent.js';
 import { EndpointCall, type SendResult } from '../../src/gateway/forward/endpointCall.js';
@@ -58,11 +59,11 @@
   if (result.kind !== 'answered') {
     return undefined;
   }
-  const body = await readResponseBody({
-    message: result.response,
-    isErrorFree: () => endpointCall.isErrorFree(),
-  });
-  return body?.toString();
+  const body = await readResponseBody(
+    { message: result.response, isErrorFree: () => endpointCall.isErrorFree() },
+    new MemoryBudget({ limitBytes: 1_000 }),
+  );
+  return body.kind === 'complete' ? body.body.toString() : undefined;
 }
 
 const HEAD = 'HTTP/1.1 200 OK\r\n';
--- a/tests/process/failures.test.ts
+++ b/tests/process/failures.test.ts
@@ -97,6 +97,27 @@
   expect(parseStream(text)).toEqual(expected);
 });
 
+// Failure: a router keeps the bytes of an event that never ends until it runs out of memory.
+test('an event that does not end is given up, and later calls are answered', async () => {
+  const expected = parseStream(await (await startChat(fleet.routerUrls[1]!, 'endless')).text());
+  const engines = getEngineUrls();
+  await setEngineFaults({ endless: 1 });
+  const faulty = await startChat(fleet.routerUrls[1]!, 'endless');
+  expect(parseStream(await faulty.text()).isComplete).toEqual(false);
+  await setEngineFaults({ endless: 0 });
+  const later = await (await startChat(fleet.routerUrls[1]!, 'endless')).text();
+  expect(parseStream(later)).toEqual(expected);
+  const sent = await Promise.all(
+    engines.map(async (url) => {
+      const response = await fetch(`${url}/control`, { method: 'POST', body: '{}' });
+      return ((await response.json()) as { endlessBytes: number }).endlessBytes;
+    }),
+  );
+  expect(Math.max(...sent)).toBeGreaterThan(0);
+  // Includes the bytes in the socket buffers of both ends, beyond those that were read.
+  expect(Math.max(...sent)).toBeLessThan(32 * 1_048_576);
+});
+
 test('no router sends new requests to an engine that announced that it is leaving', async () => {
   const [leaving] = getEngineUrls() as [string];
   await setFaults(leaving, { leaving: true });
--- a/tests/reports/unboundedResponse.test.ts
+++ b/tests/reports/unboundedResponse.test.ts
@@ -1,22 +1,33 @@
 /** Failure: a faulty server sends data that never forms a complete response, until the client closes the connection. */
 import { once } from 'node:events';
 import { createServer, type AddressInfo, type Socket } from 'node:net';
+import { monitorEventLoopDelay } from 'node:perf_hooks';
 import { test, type TestContext } from 'node:test';
 import { expect } from 'earl';
 import { StoreClient } from '../../platform/storeClient.js';
 import { SystemTimers } from '../../src/core/timers.js';
 import { HttpPeerClient } from '../../src/peers/peerRpc.js';
 import { brandId } from '../../src/types/ids.js';
-import { createRoute, GatewayFleet } from '../support/gatewayFleet.js';
+import { createRoute, GatewayFleet, sendResponse } from '../support/gatewayFleet.js';
 
 const TIMEOUT = { timeout: 30_000 };
 const CHUNK = 'x'.repeat(65_536);
 const MEGABYTE = 1_048_576;
-const SEAL = 'shallotrock-instance-seal: seal\r\n';
+/** The limits of a gateway's process (deploy/system.toml): its heap, and what its memory of 350 MB leaves for buffers. */
+const HEAP_MB_MAX = 160;
+const BUFFERS_MB_MAX = 190;
+/** So many bodies of the largest size exceed the memory of a gateway. */
+const CALLS = 60;
+/** Callers leave a gateway that has not read their call after one second. */
+const STALL_MS_MAX = 1_000;
+/** The headers of a valid endpoint. The server replaces `CALL_ID`. */
+const SEAL = 'shallotrock-instance-seal: seal\r\nshallotrock-attempt-id: CALL_ID\r\n';
 
 /** A server that sends a start, then repeats a text until the client closes; counts the bytes sent. */
 interface EndlessServer {
   readonly port: number;
+  readonly getHeldCalls: () => number;
+  readonly release: () => void;
   readonly getSentBytes: () => number;
   readonly getOpenSockets: () => number;
 }
@@ -25,8 +36,11 @@
   context: TestContext,
   start: string,
   repeated: string,
+  /** Whether responses wait for `release`. */
+  isHeld = false,
 ): Promise<EndlessServer> {
   const sockets = new Set<Socket>();
+  const heldCalls: (() => void)[] = [];
   let sent = 0;
   const server = createServer((socket) => {
     sockets.add(socket);
@@ -38,10 +52,18 @@
       }
       sent += repeated.length;
     };
-    socket.once('data', () => {
-      socket.write(start);
-      socket.on('drain', send);
-      send();
+    socket.once('data', (bytes: Buffer) => {
+      const [, id = ''] = /shallotrock-attempt-id: (\S+)/i.exec(bytes.toString()) ?? [];
+      const respond = () => {
+        socket.write(start.replace('CALL_ID', id));
+        socket.on('drain', send);
+        send();
+      };
+      if (isHeld) {
+        heldCalls.push(respond);
+      } else {
+        respond();
+      }
     });
   });
   server.listen(0, '127.0.0.1');
@@ -51,7 +73,13 @@
     server.close();
   });
   const { port } = server.address() as AddressInfo;
-  return { port, getSentBytes: () => sent, getOpenSockets: () => sockets.size };
+  return {
+    port,
+    getHeldCalls: () => heldCalls.length,
+    release: () => heldCalls.splice(0).forEach((respond) => respond()),
+    getSentBytes: () => sent,
+    getOpenSockets: () => sockets.size,
+  };
 }
 
 const chunk = `10000\r\n${CHUNK}\r\n`;
@@ -63,6 +91,16 @@
   ['an endless event', `HTTP/1.1 200 OK\r\n${SEAL}transfer-encoding: chunked\r\n\r\n`, chunk],
   ['an endless body without a length', `HTTP/1.1 200 OK\r\n${SEAL}\r\n`, CHUNK],
   ['an endless error response', 'HTTP/1.1 500 Error\r\ntransfer-encoding: chunked\r\n\r\n', chunk],
+  [
+    'endless trailers',
+    `HTTP/1.1 200 OK\r\n${SEAL}transfer-encoding: chunked\r\n\r\n0\r\n`,
+    'x: y\r\n'.repeat(2_000),
+  ],
+  [
+    'an endless chunk extension',
+    `HTTP/1.1 200 OK\r\n${SEAL}transfer-encoding: chunked\r\n\r\n1;`,
+    CHUNK,
+  ],
   [
     'an endless refusal',
     'HTTP/1.1 503 Busy\r\nshallotrock-not-executed: 1\r\ntransfer-encoding: chunked\r\n\r\n',
@@ -87,6 +125,83 @@
   });
 });
 
+/** Runs an action; returns the most memory that the process used beyond its state before, and the longest stall. */
+async function measure(
+  action: () => Promise<void>,
+): Promise<{ buffersMb: number; heapMb: number; stallMs: number }> {
+  const before = process.memoryUsage();
+  const stalls = monitorEventLoopDelay({ resolution: 10 });
+  stalls.enable();
+  let buffers = 0;
+  let heap = 0;
+  const sample = () => {
+    const { arrayBuffers, heapUsed } = process.memoryUsage();
+    buffers = Math.max(buffers, arrayBuffers - before.arrayBuffers);
+    heap = Math.max(heap, heapUsed - before.heapUsed);
+  };
+  const timer = setInterval(sample, 5);
+  await action();
+  sample();
+  clearInterval(timer);
+  stalls.disable();
+  return { buffersMb: buffers / MEGABYTE, heapMb: heap / MEGABYTE, stallMs: stalls.max / 1e6 };
+}
+
+test(
+  'endless bodies of many calls stay within the memory of a gateway, and other calls are answered',
+  TIMEOUT,
+  async (context) => {
+    const fleet = await GatewayFleet.start(context);
+    await fleet.configure([createRoute('/a/')]);
+    const start = `HTTP/1.1 200 OK\r\n${SEAL}\r\n`;
+    const server = await startEndlessServer(context, start, CHUNK, true);
+    await fleet.listEndpoint('faulty', server.port);
+    const { buffersMb } = await measure(async () => {
+      const calls = Array.from({ length: CALLS }, () => fleet.call('/a/x'));
+      await fleet.waitFor(() => server.getHeldCalls() === CALLS);
+      await fleet.addEndpoint('sound', (message, response) => {
+        setTimeout(() => sendResponse(message, response, 'y'.repeat(100_000)), 100);
+        server.release();
+      });
+      const sound = await fleet.call('/a/sound');
+      expect([sound.status, sound.isComplete]).toEqual([200, true]);
+      const statuses = (await Promise.all(calls)).map(({ status }) => status);
+      expect(new Set(statuses)).toEqual(new Set([502]));
+    });
+    expect(buffersMb).toBeLessThan(BUFFERS_MB_MAX);
+  },
+);
+
+const tinyChunks = '1\r\nx\r\n'.repeat(10_000);
+const CHUNKED = 'transfer-encoding: chunked\r\n\r\n';
+
+[
+  ['an endless body', '/a/x'],
+  ['an endless event', '/s/x'],
+].forEach(([name, path]) => {
+  test(
+    `${name} in chunks of one byte stays within the memory of a gateway`,
+    TIMEOUT,
+    async (context) => {
+      const fleet = await GatewayFleet.start(context);
+      const fields = { repeatability: 'repeatable', timeoutMs: 4_000 } as const;
+      await fleet.configure([
+        createRoute('/a/', fields),
+        createRoute('/s/', { ...fields, isStream: true }),
+      ]);
+      const start = `HTTP/1.1 200 OK\r\n${SEAL}${CHUNKED}`;
+      const server = await startEndlessServer(context, start, tinyChunks);
+      await fleet.listEndpoint('e1', server.port);
+      const { heapMb, buffersMb, stallMs } = await measure(async () => {
+        expect([502, 504]).toInclude((await fleet.call(path!)).status);
+      });
+      expect(heapMb).toBeLessThan(HEAP_MB_MAX);
+      expect(buffersMb).toBeLessThan(BUFFERS_MB_MAX);
+      expect(stallMs).toBeLessThan(STALL_MS_MAX);
+    },
+  );
+});
+
 test('an endless response of the store is a failure', TIMEOUT, async (context) => {
   const server = await startEndlessServer(
     context,
