--- a/src/gateway/filters/forwardCall.ts
+++ b/src/gateway/filters/forwardCall.ts
@@ -48,8 +48,8 @@
 /** What the attempts of all calls share. */
 type EndpointConnections = Pick<EndpointAttemptOptions, 'agent' | 'responseMemory'>;
 
-/** Sound responses are small; the memory of the process must also hold the bodies of calls. */
-const RESPONSE_BYTES_IN_FLIGHT_MAX = 48 * 1_048_576;
+/** Sound responses are small. Buffers that are no longer in use add several times as much until they are collected. */
+const RESPONSE_BYTES_IN_FLIGHT_MAX = 24 * 1_048_576;
 const NO_ENDPOINT_RETRY_AFTER_MS = 500;
 const REFUSED_RETRY_AFTER_MS = 300;
 
