Check the end of a planned stop before a call is forwarded

Cause: whether a call is served was decided when its head arrived, and not again when it was sent to an endpoint.

Fix: while calls are refused, one that no endpoint has is sent on only if its deadline is before the end of the stop; otherwise it is refused as not run. Calls without a response at the end of the stop get one that says that they may have run. The older router checks again once it has the body.

--- a/src/gateway/filters/forwardCall.ts
+++ b/src/gateway/filters/forwardCall.ts
@@ -26,6 +26,7 @@
   type AttemptFailure,
 } from '../forward/retryPolicy.js';
 import { StreamRelay } from '../forward/responseRelay.js';
+import { createDrainingRefusal, isForwardingAllowed } from '../stopPolicy.js';
 import { choosePlacement } from '../placement.js';
 import { getPoisonRefusal } from './rejectPoison.js';
 
@@ -42,6 +43,8 @@
   readonly retryRatio: number;
   readonly retryBurst: number;
   readonly getRouterCount: () => number;
+  /** Returns when a stop ends the calls in flight, or `undefined` while new calls are accepted. */
+  readonly getStopDeadline: () => number | undefined;
   readonly random: () => number;
 }
 
@@ -62,6 +65,8 @@
     responseMemory: new MemoryBudget({ limitBytes: RESPONSE_BYTES_IN_FLIGHT_MAX }),
   };
 
+  private readonly openForwarders = new Set<CallForwarder>();
+
   private readonly retryBudgets = new Map<ServiceName, ServiceRetryBudget>();
 
   constructor(private readonly options: ForwardCallOptions) {
@@ -75,13 +80,20 @@
       call.attempts.push('caller disconnected before the first attempt');
       return Ok.EMPTY;
     }
-    this.getRetryBudget(call.service).recordCall(this.options.timers.now());
-    return new CallForwarder(
-      call,
-      this.options,
-      this.connections,
-      this.getRetryBudget(call.service),
-    ).run();
+    const retryBudget = this.getRetryBudget(call.service);
+    retryBudget.recordCall(this.options.timers.now());
+    const forwarder = new CallForwarder(call, this.options, this.connections, retryBudget);
+    this.openForwarders.add(forwarder);
+    try {
+      return await forwarder.run();
+    } finally {
+      this.openForwarders.delete(forwarder);
+    }
+  }
+
+  /** Ends all calls in flight as if their deadlines had passed. */
+  endCalls(): void {
+    this.openForwarders.forEach((forwarder) => forwarder.onDeadline());
   }
 
   /** Closes idle connections. */
@@ -149,6 +161,12 @@
     }
   }
 
+  /** Ends the call without waiting for an endpoint any longer. */
+  onDeadline(): void {
+    this.isDeadlineExceeded = true;
+    this.currentAttempt?.stop();
+  }
+
   private async tryEndpoints(): Promise<FilterResult> {
     for (;;) {
       // The call may have waited for tokens, or have crashed an endpoint itself, since it passed the filter.
@@ -156,6 +174,9 @@
       if (poisonRefusal) {
         return this.fail(poisonRefusal);
       }
+      if (!this.call.mayHaveRun && !this.canEndBeforeStop()) {
+        return this.fail(createDrainingRefusal());
+      }
       const endpoint = this.chooseEndpoint();
       if (!endpoint) {
         return this.fail(
@@ -258,12 +279,19 @@
     );
   }
 
+  private canEndBeforeStop(): boolean {
+    const { call, options } = this;
+    return isForwardingAllowed({
+      callDeadline: call.deadline,
+      stopDeadline: options.getStopDeadline(),
+    });
+  }
+
   private watchDeadline(): Unsubscribe {
     const { timers } = this.options;
-    return timers.subscribe(Math.max(0, this.call.deadline - timers.now()), () => {
-      this.isDeadlineExceeded = true;
-      this.currentAttempt?.stop();
-    });
+    return timers.subscribe(Math.max(0, this.call.deadline - timers.now()), () =>
+      this.onDeadline(),
+    );
   }
 
   private onDisconnect(): void {
--- a/src/gateway/gateway.ts
+++ b/src/gateway/gateway.ts
@@ -116,6 +116,9 @@
 
   private isStopping = false;
 
+  /** When the stop ends the calls in flight; set once new calls are refused. */
+  private stopDeadline: number | undefined;
+
   constructor(private readonly options: GatewayOptions) {
     const { logger, timers, platform } = options;
     this.peerClient = options.createPeerClient((peer) => this.getPeerAddress(peer));
@@ -171,6 +174,7 @@
     logger.info('gateway stopping', { openCalls: this.server.getOpenCalls() });
     await timers.sleep(Math.min(STOP_UNREADY_MS, deployment.graceMs / 2));
     const drainTimeoutMs = deployment.graceMs - STOP_MARGIN_MS - (timers.now() - startedAt);
+    this.stopDeadline = timers.now() + drainTimeoutMs;
     const drained = this.server.drain().then(() => this.escrow.drain());
     const isDrained = await timers.isFulfilledWithin(drained, drainTimeoutMs);
     const settleTimeoutMs = deployment.graceMs - STOP_MARGIN_MS / 2 - (timers.now() - startedAt);
@@ -183,6 +187,10 @@
     this.loadController.stop();
     this.configReader.stop();
     this.endpointReader.stop();
+    if (this.server.getOpenCalls() > 0) {
+      logger.warn('calls ended by the stop', { openCalls: this.server.getOpenCalls() });
+      this.forwardFilter.endCalls();
+    }
     await this.server.close();
     this.forwardFilter.close();
     logger.info('gateway stopped', {
@@ -350,6 +358,7 @@
       retryRatio: deployment.retryRatio,
       retryBurst: deployment.retryBurst,
       getRouterCount: () => Math.max(1, this.shards[0]!.ledger.holders.size),
+      getStopDeadline: () => this.stopDeadline,
       random: this.getRandom(),
     });
   }
--- a/src/gateway/gatewayServer.ts
+++ b/src/gateway/gatewayServer.ts
@@ -14,6 +14,7 @@
 import type { Address, CallerLimits, HeaderCodec } from '../types/gateway.js';
 import { GatewayCall, type CallOutcome } from './call.js';
 import { CallerConnection } from './callerConnection.js';
+import { createDrainingRefusal } from './stopPolicy.js';
 
 /** Callbacks of the server. */
 export interface GatewayHandlers {
@@ -53,7 +54,6 @@
 const LISTEN_BACKLOG = 1_024; // many callers may connect at once; with a full backlog they wait for seconds
 const BODY_BYTES_IN_FLIGHT_MAX = 96 * 1_048_576; // bodies stay in memory until sent; the process needs the rest
 const CLOSE_TIMEOUT_MS = 100; // enough to write the refusals in progress
-const DRAINING_RETRY_AFTER_MS = 100; // another process accepts the call at once
 const OVERLOAD_RETRY_AFTER_MS = 1_000;
 
 /** Accepts calls and peer messages, and enforces the limits on callers. */
@@ -245,7 +245,7 @@
 
   private checkHead({ rawHeaders, headers }: IncomingMessage): Refusal | undefined {
     if (this.isDraining) {
-      return createRefusal('draining', { retryAfterMs: DRAINING_RETRY_AFTER_MS });
+      return createDrainingRefusal();
     }
     if (this.options.handlers.isSaturated()) {
       return createRefusal('overloaded', { retryAfterMs: OVERLOAD_RETRY_AFTER_MS });
--- a/src/server/callerServer.ts
+++ b/src/server/callerServer.ts
@@ -186,14 +186,7 @@
     const arrivedAt = timers.now();
     const callerResponse = new NodeResponse(response);
     if (this.isDraining) {
-      response.setHeader('connection', 'close');
-      const retryAfterMs = DRAINING_RETRY_AFTER_MS;
-      this.endRequest(
-        callerResponse,
-        Err(createRefusal('draining', { retryAfterMs })),
-        message,
-        arrivedAt,
-      );
+      this.refuseDraining(callerResponse, response, message, arrivedAt);
       return;
     }
     this.openResponses.add(response);
@@ -208,6 +201,11 @@
       this.endRequest(callerResponse, body, message, arrivedAt);
       return;
     }
+    // The stop may have begun while the body arrived.
+    if (this.isDraining) {
+      this.refuseDraining(callerResponse, response, message, arrivedAt);
+      return;
+    }
     const exchange = new Exchange(
       {
         method: message.method ?? 'GET',
@@ -224,6 +222,17 @@
     this.endRequest(callerResponse, result, message, arrivedAt, exchange);
   }
 
+  private refuseDraining(
+    callerResponse: NodeResponse,
+    response: ServerResponse,
+    message: IncomingMessage,
+    arrivedAt: number,
+  ): void {
+    response.setHeader('connection', 'close');
+    const refusal = createRefusal('draining', { retryAfterMs: DRAINING_RETRY_AFTER_MS });
+    this.endRequest(callerResponse, Err(refusal), message, arrivedAt);
+  }
+
   private async tryHandle(handlers: ServerHandlers, exchange: Exchange): Promise<FilterResult> {
     try {
       return await handlers.handleCaller(exchange);
--- a/tests/process/failures.test.ts
+++ b/tests/process/failures.test.ts
@@ -1,9 +1,12 @@
+import { once } from 'node:events';
+import { connect } from 'node:net';
 import { after, before, test } from 'node:test';
 import { expect } from 'earl';
 import { setFaults, type Fleet } from '../../launch/fleet.js';
 import {
   runAudit,
   sleep,
+  getHeaders,
   getOrderRunCounts,
   parseStream,
   sendOrder,
@@ -151,6 +154,44 @@
   await waitUntilRulesActive(fleet.routerUrls[2]!);
 });
 
+test('an order whose body arrives after SIGTERM is refused and not run', async () => {
+  const [, , third] = fleet.routers;
+  const body = JSON.stringify({ item: 'late' });
+  const socket = connect(third!.port, '127.0.0.1');
+  let received = '';
+  socket.on('data', (bytes: Buffer) => {
+    received += bytes.toString();
+  });
+  socket.write(
+    [
+      'POST /services/orders/orders HTTP/1.1',
+      'host: yard.example',
+      ...Object.entries(getHeaders({ 'idempotency-key': 'late' })).map((pair) => pair.join(': ')),
+      `content-length: ${body.length}`,
+      `\r\n${body.slice(0, 5)}`,
+    ].join('\r\n'),
+  );
+  await waitFor(async () => {
+    const metrics = await (await fetch(`${fleet.routerUrls[2]!}/metrics`)).text();
+    return /open_requests(?:{[^}]*})? 1/.test(metrics);
+  });
+  third!.child.kill('SIGTERM');
+  // The router closes idle connections, on one of which the question may be sent.
+  await waitFor(() =>
+    fetch(`${fleet.routerUrls[2]!}/readyz`).then(
+      async (response) => (await response.text()).startsWith('draining'),
+      () => false,
+    ),
+  );
+  socket.write(body.slice(5));
+  await once(socket, 'close');
+  expect(received.startsWith('HTTP/1.1 503')).toEqual(true);
+  expect((await getOrderRunCounts(fleet)).late).toEqual(undefined);
+  expect(await third!.exitCode).toEqual(0);
+  fleet.routers[2] = await fleet.startRouter(3, third!.port);
+  await waitUntilRulesActive(fleet.routerUrls[2]!);
+});
+
 test('after kill -9 of a router during a stream, a retry at another router is complete', async () => {
   const [first] = fleet.routers;
   const response = await startChat(fleet.routerUrls[0]!, 'killed', { 'idempotency-key': 'killed' });
