Check endpoint entries for the values that their use allows

The older router refused its whole vm list.

Cause: entries were checked for the types of their fields, not for their range, and nothing caught what Node refuses to send.

The test gateway decodes entries with the platform's decoder now.

--- a/src/commands/routerCommand.ts
+++ b/src/commands/routerCommand.ts
@@ -57,8 +57,12 @@
 /** Creates a router that uses the system clock and real sockets. */
 export function createRouter(settings: Settings): RouterWithClients {
   const { logging } = settings;
+  const logger = createLogger({ ...logging, fields: { vm: settings.router.vm } });
   const log = new HttpLog(settings.log);
-  const vmList = new HttpVmList(settings.vms);
+  const vmList = new HttpVmList({
+    ...settings.vms,
+    onMalformed: (detail) => logger.warn('vm entry ignored: malformed', { detail }),
+  });
   const endpointClient = new HttpEndpointClient(settings.endpoints);
   const closeCallbacks: (() => Promise<void>)[] = [log, vmList, endpointClient].map(
     (client) => () => client.close(),
@@ -66,7 +70,7 @@
   const router = new Router({
     settings,
     timers: new SystemTimers(),
-    logger: createLogger({ ...logging, fields: { vm: settings.router.vm } }),
+    logger,
     metrics: createMetrics(),
     log,
     vmList,
--- a/src/gateway/forward/endpointCall.ts
+++ b/src/gateway/forward/endpointCall.ts
@@ -2,6 +2,7 @@
 import { request, type Agent, type ClientRequest, type IncomingMessage } from 'node:http';
 import type { Socket } from 'node:net';
 import type { TimerService, Unsubscribe } from '../../core/timers.js';
+import { getErrorMessage } from '../../core/utilities.js';
 import type { Address } from '../../types/gateway.js';
 
 /** Options of a call. */
@@ -32,7 +33,8 @@
 
 /** A call in progress. It ends with a response, a failure, or `abort`. */
 export class EndpointCall {
-  private readonly clientRequest: ClientRequest;
+  /** `undefined` if the endpoint can't be called. */
+  private clientRequest: ClientRequest | undefined;
 
   private isConnected = false;
 
@@ -46,40 +48,14 @@
   readonly result: Promise<SendResult>;
 
   constructor(private readonly options: EndpointCallOptions) {
-    const { agent, address, method, target, headers, body } = options;
-    // Node sends an array of headers unchanged and in order.
-    this.clientRequest = request({
-      host: address.host,
-      port: address.port,
-      agent,
-      method,
-      path: target,
-      headers: headers as never,
-    });
     this.result = new Promise((resolve) => {
-      this.clientRequest.on('socket', (socket: Socket) => this.watchSocket(socket));
-      let interimResponses = 0;
-      this.clientRequest.on('information', () => {
-        interimResponses += 1;
-        if (interimResponses > INTERIM_RESPONSES_MAX) {
-          this.clientRequest.destroy(new Error('too many interim responses'));
-        }
-      });
-      this.clientRequest.on('response', (response) => {
-        if (isCloseDelimited(response)) {
-          this.detectReset(response.socket);
-        }
-        resolve({ kind: 'answered', response });
-      });
-      this.clientRequest.on('error', (error: Error) => {
-        this.hasFailed = true;
-        resolve(this.getFailure(error.message));
-      });
-      this.clientRequest.on('close', () =>
-        resolve(this.getFailure('connection closed before a response')),
-      );
+      try {
+        this.send(resolve);
+      } catch (error) {
+        // Node rejects addresses and headers that it can't send by an exception.
+        resolve({ kind: 'unreachable', detail: getErrorMessage(error) });
+      }
     });
-    this.clientRequest.end(body.length > 0 ? body : undefined);
   }
 
   /** Returns whether the connection has had no error so far. Decides whether a close-delimited response is complete. */
@@ -90,10 +66,46 @@
   /** Closes the connection, so that the endpoint stops its work. */
   abort(): void {
     this.isAborted = true;
-    this.clientRequest.destroy();
+    this.clientRequest?.destroy();
+  }
+
+  private send(resolve: (result: SendResult) => void): void {
+    const { agent, address, method, target, headers, body } = this.options;
+    // Node sends an array of headers unchanged and in order.
+    const clientRequest = request({
+      host: address.host,
+      port: address.port,
+      agent,
+      method,
+      path: target,
+      headers: headers as never,
+    });
+    this.clientRequest = clientRequest;
+    clientRequest.on('socket', (socket: Socket) => this.watchSocket(clientRequest, socket));
+    let interimResponses = 0;
+    clientRequest.on('information', () => {
+      interimResponses += 1;
+      if (interimResponses > INTERIM_RESPONSES_MAX) {
+        clientRequest.destroy(new Error('too many interim responses'));
+      }
+    });
+    clientRequest.on('response', (response) => {
+      if (isCloseDelimited(response)) {
+        this.detectReset(response.socket);
+      }
+      resolve({ kind: 'answered', response });
+    });
+    clientRequest.on('error', (error: Error) => {
+      this.hasFailed = true;
+      resolve(this.getFailure(error.message));
+    });
+    clientRequest.on('close', () =>
+      resolve(this.getFailure('connection closed before a response')),
+    );
+    clientRequest.end(body.length > 0 ? body : undefined);
   }
 
-  private watchSocket(socket: Socket): void {
+  private watchSocket(clientRequest: ClientRequest, socket: Socket): void {
     const { timers, connectTimeoutMs = CONNECT_TIMEOUT_MS } = this.options;
     socket.setNoDelay(true);
     if (!socket.connecting) {
@@ -101,15 +113,13 @@
       return;
     }
     this.cancelConnect = timers.subscribe(connectTimeoutMs, () => {
-      this.clientRequest.destroy(
-        new Error(`connection not established within ${connectTimeoutMs} ms`),
-      );
+      clientRequest.destroy(new Error(`connection not established within ${connectTimeoutMs} ms`));
     });
     socket.once('connect', () => {
       this.isConnected = true;
       this.cancelConnect();
     });
-    this.clientRequest.once('close', () => this.cancelConnect());
+    clientRequest.once('close', () => this.cancelConnect());
   }
 
   /**
--- a/src/store/keyedTopicReader.ts
+++ b/src/store/keyedTopicReader.ts
@@ -79,10 +79,7 @@
     const { timers, minReadIntervalMs = 0 } = this.options;
     while (!signal.aborted) {
       const startedAt = timers.now();
-      const failure =
-        this.offset === undefined
-          ? await this.loadSnapshot()
-          : await this.readNextPage(this.offset);
+      const failure = await this.tryRead();
       if (failure) {
         this.recordFailure(failure);
         await timers.sleep(this.getRetryDelayMs(), signal);
@@ -93,6 +90,20 @@
     }
   }
 
+  /** An exception counts as a failed read: one response that can't be handled must not end the reader. */
+  private async tryRead(): Promise<StoreFailure | undefined> {
+    try {
+      return await (this.offset === undefined
+        ? this.loadSnapshot()
+        : this.readNextPage(this.offset));
+    } catch (error) {
+      const { logger, topic } = this.options;
+      const { stack } = error as Error;
+      logger.error('reading a topic failed unexpectedly', { topic: topic.name, error: stack });
+      return { kind: 'unavailable', detail: getErrorMessage(error) };
+    }
+  }
+
   private async loadSnapshot(): Promise<StoreFailure | undefined> {
     const { store, topic, onSnapshot } = this.options;
     const newest = await store.readNewest(topic);
--- a/src/transports/httpVmList.ts
+++ b/src/transports/httpVmList.ts
@@ -5,6 +5,7 @@
 import { Agent, request } from 'undici';
 import { Err, Ok, type Result } from '../core/results.js';
 import * as z from 'zod';
+import { checkShape } from '../core/shapes.js';
 import { VmList, type Vm } from '../types/platform.js';
 import { getErrorMessage } from '../core/utilities.js';
 
@@ -13,18 +14,20 @@
   readonly url: string;
   /** Timeout of a request, in milliseconds. Default 2,000. */
   readonly requestTimeoutMs?: number;
+  /** Called with the reason for each entry that is left out. */
+  readonly onMalformed?: (detail: string) => void;
 }
 
-const responseSchema = z.object({
-  vms: z.array(
-    z.object({
-      vm: z.string(),
-      host: z.string(),
-      port: z.int(),
-      availabilityZone: z.string(),
-      state: z.enum(['live', 'leaving']),
-    }),
-  ),
+const PORT_MAX = 65_535;
+
+const responseSchema = z.object({ vms: z.array(z.unknown()) });
+
+const vmSchema = z.object({
+  vm: z.string(),
+  host: z.string(),
+  port: z.int().min(1).max(PORT_MAX),
+  availabilityZone: z.string(),
+  state: z.enum(['live', 'leaving']),
 });
 
 /** The vm list, reached over HTTP. */
@@ -53,11 +56,12 @@
         await response.body.dump();
         return Ok(this.cachedVms);
       }
-      const body = responseSchema.safeParse(await response.body.json());
-      if (!body.success) {
-        return Err(body.error.message);
+      const text = await response.body.text();
+      const body = checkShape(responseSchema, () => JSON.parse(text));
+      if (body.err) {
+        return body;
       }
-      this.cachedVms = body.data.vms as unknown as Vm[];
+      this.cachedVms = body.val.vms.flatMap((vm) => this.decodeVm(vm));
       this.etag = response.headers.etag?.toString();
       return Ok(this.cachedVms);
     } catch (error) {
@@ -65,6 +69,16 @@
     }
   }
 
+  /** One malformed entry must not hide the others. */
+  private decodeVm(value: unknown): Vm[] {
+    const vm = checkShape(vmSchema, () => value);
+    if (vm.err) {
+      this.options.onMalformed?.(vm.val);
+      return [];
+    }
+    return [vm.val as unknown as Vm];
+  }
+
   /** Closes all connections. */
   close(): Promise<void> {
     return this.agent.destroy();
--- a/tests/gateway/endpointCall.test.ts
+++ b/tests/gateway/endpointCall.test.ts
@@ -117,6 +117,13 @@
   expect(sockets.size).toEqual(2);
 });
 
+test('an endpoint that Node can not call is unreachable', async (context) => {
+  const endpointCall = callPort(70_000, createAgent(context));
+  const result = await endpointCall.result;
+  expect(result.kind).toEqual('unreachable');
+  endpointCall.abort();
+});
+
 test('a connection that was never established is distinguished from one that broke', async (context) => {
   const server = await startServer(context, (socket) => {
     socket.once('data', () => socket.destroy());
--- a/tests/gateway/keyedTopicReader.test.ts
+++ b/tests/gateway/keyedTopicReader.test.ts
@@ -15,8 +15,9 @@
   const process = new PausableTimers(timers);
   const values = new Map<string, string>();
   const outageFlags: boolean[] = [];
+  const store = new FakeStore(server, process, faults);
   const reader = new KeyedTopicReader({
-    store: new FakeStore(server, process, faults),
+    store,
     topic: TOPIC,
     minReadIntervalMs,
     timers: process,
@@ -36,7 +37,7 @@
     const at = server.getRecords(TOPIC).length as never;
     server.append({ topic: TOPIC, key, value: Buffer.from(value), at });
   };
-  return { timers, server, faults, reader, values, outageFlags, put };
+  return { timers, server, faults, store, reader, values, outageFlags, put };
 }
 
 test('a reader starts with the newest record of each key and receives every later record', async () => {
@@ -96,6 +97,24 @@
   reader.stop();
 });
 
+// Failure: a reader that met one response it could not handle no longer follows its topic.
+test('a read that throws does not end the reader', async () => {
+  const { timers, store, reader, values, put } = createReader();
+  put('a', '1');
+  reader.start();
+  await timers.advance(100);
+  const read = store.read.bind(store);
+  store.read = () => {
+    store.read = read;
+    throw new RangeError('simulated');
+  };
+  await timers.advance(1_000);
+  put('a', '2');
+  await timers.advance(1_000);
+  expect([...values]).toEqual([['a', '2']]);
+  reader.stop();
+});
+
 test('a topic that is written constantly is read once per interval, and no record is delayed by more than that', async () => {
   const minReadIntervalMs = 500;
   const { timers, server, reader, values, put } = createReader(minReadIntervalMs);
--- a/tests/support/gatewayFleet.ts
+++ b/tests/support/gatewayFleet.ts
@@ -9,6 +9,7 @@
 } from 'node:http';
 import { connect, type AddressInfo } from 'node:net';
 import type { TestContext } from 'node:test';
+import { decodeEndpointEntry } from '../../platform/endpointEntry.js';
 import { PlatformHeaders } from '../../platform/headerCodec.js';
 import { Ok, type Result } from '../../src/core/results.js';
 import { createLogger } from '../../src/core/logging.js';
@@ -17,7 +18,7 @@
 import { getSha256 } from '../../src/core/utilities.js';
 import { Gateway } from '../../src/gateway/gateway.js';
 import { HttpPeerClient } from '../../src/peers/peerRpc.js';
-import type { EndpointEntry, GatewayConfig, Route } from '../../src/types/gateway.js';
+import type { GatewayConfig, Route } from '../../src/types/gateway.js';
 import { brandId, type ServiceName } from '../../src/types/ids.js';
 import {
   KeyedStore,
@@ -68,9 +69,9 @@
   }
 
   /** Appends a record at the current end of the topic. */
-  put(topic: Topic, key: string, value: unknown): void {
+  put(topic: Topic, key: string, value: string): void {
     const at = this.server.getRecords(topic).length as never;
-    this.server.append({ topic, key, value: Buffer.from(JSON.stringify(value)), at });
+    this.server.append({ topic, key, value: Buffer.from(value), at });
     this.resolveWaitingReads();
   }
 
@@ -93,6 +94,7 @@
 /** A test endpoint with the calls that it received. */
 export interface TestEndpoint {
   readonly id: string;
+  readonly address: string;
   readonly calls: IncomingMessage[];
   /** The responses to `calls`. */
   readonly responses: ServerResponse[];
@@ -107,6 +109,11 @@
   readonly isComplete: boolean;
 }
 
+/** Creates the entry of a ready endpoint, as it is stored. */
+export function createEntryFields(address: string): Readonly<Record<string, unknown>> {
+  return { service: SERVICE, address, zone: 'z', slots: 8, state: 'ready', seq: 1, born: 1 };
+}
+
 /** Creates a route; by default its calls are neither streamed nor repeatable. */
 export function createRoute(prefix: string, fields: Partial<Route> = {}): Route {
   return {
@@ -128,6 +135,9 @@
 
 /** One gateway, its store and its endpoints. */
 export class GatewayFleet {
+  /** The service of all endpoints. */
+  readonly service = SERVICE;
+
   private readonly store = new MemoryStore();
 
   private readonly timers = new SystemTimers();
@@ -144,6 +154,8 @@
 
   private version = 0;
 
+  private markerCount = 0;
+
   private constructor(private readonly ports: readonly number[]) {
     const { timers } = this;
     const address = (index: number) => ({ host: '127.0.0.1', port: ports[index]! });
@@ -169,8 +181,7 @@
         store: this.store,
         codec: new PlatformHeaders(),
         decodeConfig: (bytes) => Ok(JSON.parse(Buffer.from(bytes).toString()) as GatewayConfig),
-        decodeEndpoint: (_, bytes) =>
-          Ok(JSON.parse(Buffer.from(bytes).toString()) as EndpointEntry),
+        decodeEndpoint: decodeEndpointEntry,
         configTopic: CONFIG_TOPIC,
         configKey: 'config',
         endpointTopic: ENDPOINT_TOPIC,
@@ -229,7 +240,7 @@
         idleTimeoutMs: 15_000,
       },
     };
-    this.store.put(CONFIG_TOPIC, 'config', config);
+    this.store.put(CONFIG_TOPIC, 'config', JSON.stringify(config));
     await this.waitFor(() => this.gateway.config.getVersion() === this.version);
     await this.waitFor(() => this.gateway.escrow.isReady());
   }
@@ -247,29 +258,32 @@
     this.servers.push(server);
     server.listen(0, '127.0.0.1');
     await once(server, 'listening');
-    await this.listEndpoint(id, (server.address() as AddressInfo).port);
-    return { id, calls, responses };
+    const { port } = server.address() as AddressInfo;
+    await this.listEndpoint(id, port);
+    return { id, address: `127.0.0.1:${port}`, calls, responses };
   }
 
   /** Stores the entry of an endpoint that listens on a port. */
   async listEndpoint(id: string, port: number): Promise<void> {
     const size = this.gateway.directory.getSize();
-    const entry: EndpointEntry = {
-      id: brandId(id),
-      startedAtMs: 1,
-      sequence: 1,
-      service: SERVICE,
-      host: '127.0.0.1',
-      port,
-      availabilityZone: brandId('z'),
-      slots: 8,
-      state: 'ready',
-      warmupMs: 0,
-    };
-    this.store.put(ENDPOINT_TOPIC, id, entry);
+    this.putEndpointEntry(id, JSON.stringify(createEntryFields(`127.0.0.1:${port}`)));
     await this.waitFor(() => this.gateway.directory.getSize() > size);
   }
 
+  /** Stores text under the id of an endpoint. */
+  putEndpointEntry(id: string, text: string): void {
+    this.store.put(ENDPOINT_TOPIC, id, text);
+  }
+
+  /** Waits until the gateway has applied all stored entries, by the last of them: one of another service. */
+  async waitForEntries(): Promise<void> {
+    this.markerCount += 1;
+    const id = `marker-${this.markerCount}`;
+    const fields = { ...createEntryFields('127.0.0.1:1'), service: 'other' };
+    this.putEndpointEntry(id, JSON.stringify(fields));
+    await this.waitFor(() => this.gateway.directory.getEntries().some((entry) => entry.id === id));
+  }
+
   /** Removes the entry of an endpoint; its server keeps running. */
   removeEndpoint(id: string): void {
     this.store.remove(ENDPOINT_TOPIC, id);
