--- a/src/core/byteCollector.ts
+++ b/src/core/byteCollector.ts
@@ -25,6 +25,7 @@
     return this.size;
   }
 
+  /** Adds bytes at the end. */
   append(bytes: Uint8Array): void {
     const { size } = this;
     const newSize = size + bytes.length;
--- a/src/gateway/gatewayServer.ts
+++ b/src/gateway/gatewayServer.ts
@@ -276,7 +276,7 @@
     return body;
   }
 
-  /** Drops a request whose connection closes after an earlier response; the caller knows that it was not read. */
+  /** Drops a request whose connection closes after an earlier response: no response to it can be sent. */
   private drop({ url, rawHeaders }: IncomingMessage): void {
     const { codec, logger, metrics } = this.options;
     const metadata = codec.readCall(rawHeaders);
