Refuse a response whose head has a carriage return without a line feed

What callers saw: a 200 with the endpoint's seal and a body that lacks its first byte, or that is the rest of another response ("TTP/1.1 200 OK ..."), framed as whole by a length or by chunks.

The parser also takes a CR without LF in the status line for part of the reason.

Fix: the bytes up to the end of the head are kept until the parser reports it, and a head with a CR that no LF follows fails the attempt as broken (it may have run). The caller gets a 502, or another endpoint is tried where the route allows it.

--- a/src/gateway/forward/endpointCall.ts
+++ b/src/gateway/forward/endpointCall.ts
@@ -4,6 +4,7 @@
 import type { TimerService, Unsubscribe } from '../../core/timers.js';
 import { getErrorMessage } from '../../core/utilities.js';
 import type { Address } from '../../types/gateway.js';
+import { findHeadFault } from './responseHead.js';
 
 /** Options of a call. */
 export interface EndpointCallOptions {
@@ -44,6 +45,9 @@
 
   private cancelConnect: Unsubscribe = () => {};
 
+  /** Everything received until the head of the response is complete. */
+  private headChunks: Buffer[] = [];
+
   /** Resolves with the head of the response, or with the failure. */
   readonly result: Promise<SendResult>;
 
@@ -90,6 +94,12 @@
       }
     });
     clientRequest.on('response', (response) => {
+      const fault = findHeadFault(Buffer.concat(this.headChunks));
+      if (fault !== undefined) {
+        resolve(this.getFailure(fault));
+        clientRequest.destroy();
+        return;
+      }
       if (isCloseDelimited(response)) {
         this.detectReset(response.socket);
       }
@@ -108,6 +118,7 @@
   private watchSocket(clientRequest: ClientRequest, socket: Socket): void {
     const { timers, connectTimeoutMs = CONNECT_TIMEOUT_MS } = this.options;
     socket.setNoDelay(true);
+    this.collectHead(clientRequest, socket);
     if (!socket.connecting) {
       this.isConnected = true;
       return;
@@ -122,6 +133,20 @@
     clientRequest.once('close', () => this.cancelConnect());
   }
 
+  /** The parser's own listener must come second, since it reports the response. */
+  private collectHead(clientRequest: ClientRequest, socket: Socket): void {
+    const append = (chunk: Buffer) => {
+      this.headChunks.push(chunk);
+    };
+    const stop = () => {
+      socket.off('data', append);
+      this.headChunks = [];
+    };
+    socket.prependListener('data', append);
+    clientRequest.once('response', stop);
+    clientRequest.once('close', stop);
+  }
+
   /**
    * Distinguishes a reset from an orderly end. A reset that arrives with the last bytes is reported as the end of the
    * stream, and only a write reveals it. The CRLF written is one that servers ignore before a request.
--- /dev/null
+++ b/src/gateway/forward/responseHead.ts
@@ -0,0 +1,42 @@
+/** Checks the bytes of a response's head for what Node's parser accepts although the head is damaged. */
+
+const INTERIM_STATUS_LINE = /^HTTP\/\d\.\d 1\d\d/;
+
+/**
+ * Returns why the bytes do not begin with a sound head, or `undefined` if they do. Interim responses may precede it.
+ * To be called once the parser has reported the head.
+ *
+ * @example
+ * findHeadFault(Buffer.from('HTTP/1.1 200 OK\r\n\rbody')); // 'head contains a carriage return without a line feed'
+ */
+export function findHeadFault(bytes: Buffer): string | undefined {
+  const lines = readHeadLines(bytes);
+  // The parser takes `CR X` for the blank line and drops the X, which shortens the body.
+  return lines === undefined || lines.some((line) => line.includes('\r'))
+    ? 'head contains a carriage return without a line feed'
+    : undefined;
+}
+
+/** Returns the lines of the interim heads and the head, or `undefined` if no line feed ends the head. */
+function readHeadLines(bytes: Buffer): string[] | undefined {
+  const lines: string[] = [];
+  let statusLine: string | undefined;
+  let position = 0;
+  for (;;) {
+    const end = bytes.indexOf('\n', position);
+    if (end < 0) {
+      return undefined;
+    }
+    const line = bytes.toString('latin1', position, end).replace(/\r$/, '');
+    position = end + 1;
+    if (line !== '') {
+      statusLine ??= line;
+      lines.push(line);
+    } else if (statusLine !== undefined) {
+      if (!INTERIM_STATUS_LINE.test(statusLine)) {
+        return lines;
+      }
+      statusLine = undefined;
+    }
+  }
+}
--- /dev/null
+++ b/tests/reports/damagedResponseHead.test.ts
@@ -0,0 +1,94 @@
+/** Failure: an endpoint sends a damaged head, and the caller receives a 200 whose body is not the endpoint's whole one. */
+import { test, type TestContext } from 'node:test';
+import { expect } from 'earl';
+import { findHeadFault } from '../../src/gateway/forward/responseHead.js';
+import { createRoute, GatewayFleet } from '../support/gatewayFleet.js';
+import { RawCaller } from '../support/rawCaller.js';
+import { startRawEndpoint } from '../support/rawEndpoint.js';
+
+const TIMEOUT = { timeout: 30_000 };
+/** A sound start of a head; the endpoint replaces `CALL_ID`. */
+const START =
+  'HTTP/1.1 200 OK\r\nshallotrock-attempt-id: CALL_ID\r\nshallotrock-instance-seal: s\r\n';
+const EVENT = 'id: 1\ndata: t1\n\n';
+const ROUTES = ['/once/', '/again/', '/stream/'];
+
+/** A damaged response; the connection ends in order after it. */
+type DamagedResponse = readonly [name: string, text: string];
+
+/** Sends each response on each route, on a new and on a kept connection, and expects that the caller notices. */
+async function expectNoSuccess(
+  context: TestContext,
+  responses: readonly DamagedResponse[],
+): Promise<void> {
+  const fleet = await GatewayFleet.start(context);
+  await fleet.configure([
+    createRoute('/once/'),
+    createRoute('/again/', { repeatability: 'repeatable', attempts: 2 }),
+    createRoute('/stream/', { isStream: true }),
+  ]);
+  const endpoint = await startRawEndpoint(context, (socket, { id }) => {
+    const [, text] = responses[Number(id.split('-')[0])] ?? [];
+    const sound = `${START}content-length: ${EVENT.length}\r\n\r\n${EVENT}`;
+    socket.write((text ?? sound).replaceAll('CALL_ID', id));
+    if (text !== undefined) {
+      setTimeout(() => socket.end(), 5);
+    }
+  });
+  await fleet.listEndpoint('e1', endpoint.port);
+  const successes: string[] = [];
+  let count = 0;
+  for (const path of ROUTES) {
+    for (const isKept of [false, true]) {
+      for (const [index, [name]] of responses.entries()) {
+        // Sequential, so that the kept connection is the only idle one.
+        count += 1;
+        if (isKept) {
+          const { status, body } = await fleet.call(path);
+          expect([status, body]).toEqual([200, EVENT]);
+        }
+        const caller = await RawCaller.connect(context, fleet.getPort());
+        caller.send(path, `${index}-${count}`);
+        await fleet.waitFor(() => isAnswered(caller));
+        if (!/^HTTP\/1.1 502 /.test(caller.received)) {
+          successes.push(`${name}, ${path}, kept ${isKept}: ${caller.received.slice(-90)}`);
+        }
+        caller.disconnect();
+      }
+    }
+  }
+  expect(successes).toEqual([]);
+  expect(endpoint.calls.length).toEqual(responses.length * ROUTES.length * 3);
+}
+
+/** Returns whether the gateway has ended the response by its length, its last chunk or the connection. */
+function isAnswered({ received, isClosedByGateway }: RawCaller): boolean {
+  const [head = '', body] = received.split(/\r\n\r\n(.*)/s);
+  const length = /content-length: (\d+)/i.exec(head)?.[1];
+  const isWhole =
+    length === undefined ? received.endsWith('0\r\n\r\n') : body?.length === Number(length);
+  return isClosedByGateway || (body !== undefined && isWhole);
+}
+
+test('a head that ends in CR without LF does not shorten the body', TIMEOUT, (context) =>
+  expectNoSuccess(context, [
+    ['without a length', `${START}\r${EVENT}`],
+    ['with a length', `${START}content-length: ${EVENT.length - 1}\r\n\r${EVENT}`],
+    ['before a second response', `${START}\r${START}content-length: 2\r\n\r\nok`],
+    ['in the status line', `${START.replace('OK\r\n', 'OK\r')}\r\n${EVENT}`],
+    ['after an interim response', `HTTP/1.1 103 Early\r\n\r\n${START}\r${EVENT}`],
+  ]),
+);
+
+test('each carriage return of a head needs its line feed', () => {
+  const head = 'HTTP/1.1 103 Early\r\nx: y\r\n\r\nHTTP/1.1 200 OK\r\na: b\r\n\r\n';
+  expect(findHeadFault(Buffer.from(`${head}body`))).toEqual(undefined);
+  expect(findHeadFault(Buffer.from(`${head}body\rwith a CR`))).toEqual(undefined);
+  const lineEnds = [...head.matchAll(/\n/g)].map(({ index }) => index);
+  expect(lineEnds.length).toEqual(6);
+  lineEnds.forEach((index) => {
+    const damaged = `${head.slice(0, index)}${head.slice(index + 1)}`;
+    expect(findHeadFault(Buffer.from(`${damaged}body`))).not.toEqual(undefined);
+    expect(findHeadFault(Buffer.from(`${damaged}b\r\n\r\n`))).not.toEqual(undefined);
+  });
+});
