Refuse a response whose head contains the status line of another response

What callers saw: a 200 with the endpoint's seal and the body of the endpoint's own 500 response; or a 503 with "not_run" for a call that the endpoint had run and answered with 200.

Cause: an endpoint that stops inside a line of its head (in the reason or in a header's value) and then writes a whole response on the same connection sends bytes that parse as one head: the first status and headers, then the second response's headers and body. Node's parser and the checks of id and seal accept it.

Fix: a head with a status line inside one of its lines fails the attempt as broken (it may have run). A header whose value only mentions a protocol version ("via: HTTP/1.1 proxy") is accepted.

--- a/src/gateway/forward/responseHead.ts
+++ b/src/gateway/forward/responseHead.ts
@@ -1,5 +1,7 @@
 /** Checks the bytes of a response's head for what Node's parser accepts although the head is damaged. */
 
+/** A status line that does not begin its line. */
+const INNER_STATUS_LINE = /.HTTP\/\d\.\d \d{3}/;
 const INTERIM_STATUS_LINE = /^HTTP\/\d\.\d 1\d\d/;
 
 /**
@@ -12,8 +14,12 @@
 export function findHeadFault(bytes: Buffer): string | undefined {
   const lines = readHeadLines(bytes);
   // The parser takes `CR X` for the blank line and drops the X, which shortens the body.
-  return lines === undefined || lines.some((line) => line.includes('\r'))
-    ? 'head contains a carriage return without a line feed'
+  if (lines === undefined || lines.some((line) => line.includes('\r'))) {
+    return 'head contains a carriage return without a line feed';
+  }
+  // A head that stops inside a line merges with the next one: the first status then counts for the second body.
+  return lines.some((line) => INNER_STATUS_LINE.test(line))
+    ? 'head contains the status line of another response'
     : undefined;
 }
 
--- a/tests/reports/damagedResponseHead.test.ts
+++ b/tests/reports/damagedResponseHead.test.ts
@@ -54,6 +54,8 @@
           successes.push(`${name}, ${path}, kept ${isKept}: ${caller.received.slice(-90)}`);
         }
         caller.disconnect();
+        // A kept connection that is about to end must not carry the next call.
+        await fleet.waitFor(() => endpoint.sockets.size === 0);
       }
     }
   }
@@ -80,6 +82,23 @@
   ]),
 );
 
+const ERROR_RESPONSE = `${START.replace('200 OK', '500 Error')}content-length: 2\r\n\r\nno`;
+
+test('a head that stops before a second head does not pass on its status', TIMEOUT, (context) => {
+  const head = `${START}content-type: text/plain\r\ncontent-length: 2\r\n\r`;
+  // Without the first byte there is only the second response.
+  const cuts = Array.from(head, (_, index) => head.slice(0, index + 1));
+  return expectNoSuccess(context, [
+    ...cuts.map((cut, index): DamagedResponse => [`cut ${index + 1}`, `${cut}${ERROR_RESPONSE}`]),
+    [
+      'a refusal before a success',
+      `HTTP/1.1 503 Busy\r\nshallotrock-not-executed: 1\r\nx: ${START}content-length: 2\r\n\r\nok`,
+    ],
+    ['after an interim response', `HTTP/1.1 103 Early\r\n\r\n${START}x: y${ERROR_RESPONSE}`],
+    ['inside an interim response', `HTTP/1.1 103 Early\r\nx: ${START}content-length: 2\r\n\r\nok`],
+  ]);
+});
+
 test('each carriage return of a head needs its line feed', () => {
   const head = 'HTTP/1.1 103 Early\r\nx: y\r\n\r\nHTTP/1.1 200 OK\r\na: b\r\n\r\n';
   expect(findHeadFault(Buffer.from(`${head}body`))).toEqual(undefined);
@@ -92,3 +111,13 @@
     expect(findHeadFault(Buffer.from(`${damaged}b\r\n\r\n`))).not.toEqual(undefined);
   });
 });
+
+test('a status line inside a line of the head is a fault, one in the body is not', () => {
+  const find = (text: string) => findHeadFault(Buffer.from(text));
+  expect(find('HTTP/1.1 200 OK\r\nx: HTTP/1.1 500 Error\r\n\r\n')).not.toEqual(undefined);
+  expect(find('HTTP/1.1 200 HTTP/1.1 500 Error\r\n\r\n')).not.toEqual(undefined);
+  expect(find('HTTP/1.1 103 Early\r\n\r\nHTTP/1.1 200 OK\r\nvia: HTTP/1.1 proxy\r\n\r\n')).toEqual(
+    undefined,
+  );
+  expect(find('HTTP/1.1 200 OK\r\nx: y\r\n\r\nx: HTTP/1.1 500 Error\r\n')).toEqual(undefined);
+});
