Refuse a response that switches protocols

What callers saw: a 101 with "Content-Length: 0" in answer to their call, and nothing of the endpoint's 200 that followed on the same connection. A 101 makes a client treat what follows as another protocol.

Cause: Node reports a 101 without the upgrade headers as a final response that ends with its head; only a 101 with them closes the connection. The gateway forwards no Upgrade header, so no 101 answers a call.

Fix: a 101, also after interim responses, fails the attempt as broken (it may have run).

--- a/src/gateway/forward/responseHead.ts
+++ b/src/gateway/forward/responseHead.ts
@@ -2,7 +2,8 @@
 
 /** A status line that does not begin its line. */
 const INNER_STATUS_LINE = /.HTTP\/\d\.\d \d{3}/;
-const INTERIM_STATUS_LINE = /^HTTP\/\d\.\d 1\d\d/;
+const INTERIM_STATUS_LINE = /^HTTP\/\d\.\d 1(?!01)\d\d/;
+const SWITCHING_STATUS_LINE = /^HTTP\/\d\.\d 101/;
 
 /**
  * Returns why the bytes do not begin with a sound head, or `undefined` if they do. Interim responses may precede it.
@@ -17,6 +18,10 @@
   if (lines === undefined || lines.some((line) => line.includes('\r'))) {
     return 'head contains a carriage return without a line feed';
   }
+  // No call asks for another protocol, and the parser ends the response there without a body.
+  if (lines.some((line) => SWITCHING_STATUS_LINE.test(line))) {
+    return 'head switches protocols';
+  }
   // A head that stops inside a line merges with the next one: the first status then counts for the second body.
   return lines.some((line) => INNER_STATUS_LINE.test(line))
     ? 'head contains the status line of another response'
--- a/tests/reports/damagedResponseHead.test.ts
+++ b/tests/reports/damagedResponseHead.test.ts
@@ -99,6 +99,21 @@
   ]);
 });
 
+test(
+  'a response that switches protocols without a request to do so is a failure',
+  TIMEOUT,
+  (context) => {
+    const sound = `${START}content-length: 2\r\n\r\nok`;
+    const head = START.replace('200 OK', '101 Switching Protocols');
+    return expectNoSuccess(context, [
+      ['alone', `${head}\r\n`],
+      ['before a response', `${head}\r\n${sound}`],
+      ['after an interim response', `HTTP/1.1 103 Early\r\n\r\n${head}\r\n${sound}`],
+      ['with an upgrade', `${head}connection: upgrade\r\nupgrade: x\r\n\r\n${sound}`],
+    ]);
+  },
+);
+
 test('each carriage return of a head needs its line feed', () => {
   const head = 'HTTP/1.1 103 Early\r\nx: y\r\n\r\nHTTP/1.1 200 OK\r\na: b\r\n\r\n';
   expect(findHeadFault(Buffer.from(`${head}body`))).toEqual(undefined);
@@ -121,3 +136,13 @@
   );
   expect(find('HTTP/1.1 200 OK\r\nx: y\r\n\r\nx: HTTP/1.1 500 Error\r\n')).toEqual(undefined);
 });
+
+test('a head that switches protocols is a fault, an interim response is not', () => {
+  const find = (text: string) => findHeadFault(Buffer.from(text));
+  const head = 'HTTP/1.1 200 OK\r\n\r\n';
+  expect(find('HTTP/1.1 101 Switching Protocols\r\n\r\n')).toEqual('head switches protocols');
+  expect(find(`HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 101\r\n\r\n${head}`)).not.toEqual(undefined);
+  ['100 Continue', '102 Processing', '103 Early Hints', '199'].forEach((status) => {
+    expect(find(`HTTP/1.1 ${status}\r\n\r\n${head}`)).toEqual(undefined);
+  });
+});
