Refuse a response in a transfer coding other than chunked

What callers saw: a 200 with the endpoint's seal and a body that is not the endpoint's: the coded bytes, such as the sizes of chunks among the data, or a short body if the connection ended early, framed as whole.

Cause: Node's parser reads a body whose last transfer coding is not "chunked" until the connection ends, and decodes none but chunks. The gateway removes Transfer-Encoding, which concerns one connection, so that the caller can't decode the body either. Such a body also escaped the check for a reset, since it does not count as one that ends with its connection.

Fix: a head with any Transfer-Encoding other than one "chunked" fails the attempt as broken (it may have run). That includes "identity", which the current HTTP/1.1 no longer defines, and a repeated "chunked".

--- a/src/gateway/forward/responseHead.ts
+++ b/src/gateway/forward/responseHead.ts
@@ -1,5 +1,6 @@
 /** Checks the bytes of a response's head for what Node's parser accepts although the head is damaged. */
 
+const TRANSFER_CODING = /^transfer-encoding:[ \t]*(.*?)[ \t]*$/i;
 /** A status line that does not begin its line. */
 const INNER_STATUS_LINE = /.HTTP\/\d\.\d \d{3}/;
 const INTERIM_STATUS_LINE = /^HTTP\/\d\.\d 1(?!01)\d\d/;
@@ -22,12 +23,21 @@
   if (lines.some((line) => SWITCHING_STATUS_LINE.test(line))) {
     return 'head switches protocols';
   }
+  if (hasUnknownTransferCoding(lines)) {
+    return 'transfer coding is not chunked';
+  }
   // A head that stops inside a line merges with the next one: the first status then counts for the second body.
   return lines.some((line) => INNER_STATUS_LINE.test(line))
     ? 'head contains the status line of another response'
     : undefined;
 }
 
+/** The parser reads a body in another coding until the connection ends, and does not decode it. */
+function hasUnknownTransferCoding(lines: readonly string[]): boolean {
+  const codings = lines.flatMap((line) => TRANSFER_CODING.exec(line)?.slice(1) ?? []);
+  return codings.length > 0 && codings.join().toLowerCase() !== 'chunked';
+}
+
 /** Returns the lines of the interim heads and the head, or `undefined` if no line feed ends the head. */
 function readHeadLines(bytes: Buffer): string[] | undefined {
   const lines: string[] = [];
--- a/tests/reports/damagedResponseHead.test.ts
+++ b/tests/reports/damagedResponseHead.test.ts
@@ -114,6 +114,30 @@
   },
 );
 
+test(
+  'a body in a transfer coding other than chunked is not passed on as the body',
+  TIMEOUT,
+  (context) => {
+    const chunks = `${EVENT.length.toString(16)}\r\n${EVENT}\r\n0\r\n\r\n`;
+    const codings = [
+      'gzip',
+      'identity',
+      'xchunked',
+      'chunked;q=1',
+      'chunked, gzip',
+      'gzip, chunked',
+      'chunked, chunked',
+      '',
+      'chunked\r\ntransfer-encoding: gzip',
+      'chunked\r\ntransfer-encoding: chunked',
+    ];
+    return expectNoSuccess(
+      context,
+      codings.map((coding) => [coding, `${START}transfer-encoding: ${coding}\r\n\r\n${chunks}`]),
+    );
+  },
+);
+
 test('each carriage return of a head needs its line feed', () => {
   const head = 'HTTP/1.1 103 Early\r\nx: y\r\n\r\nHTTP/1.1 200 OK\r\na: b\r\n\r\n';
   expect(findHeadFault(Buffer.from(`${head}body`))).toEqual(undefined);
@@ -146,3 +170,22 @@
     expect(find(`HTTP/1.1 ${status}\r\n\r\n${head}`)).toEqual(undefined);
   });
 });
+
+test('only the transfer coding chunked is accepted', () => {
+  const find = (lines: string) => findHeadFault(Buffer.from(`HTTP/1.1 200 OK\r\n${lines}\r\n\r\n`));
+  [
+    'transfer-encoding: chunked',
+    'Transfer-Encoding:CHUNKED ',
+    'x-transfer-encoding: gzip',
+    'te: gzip',
+  ].forEach((lines) => {
+    expect(find(lines)).toEqual(undefined);
+  });
+  [
+    'transfer-encoding:',
+    'Transfer-Encoding: gzip',
+    'transfer-encoding: chunked\r\ntransfer-encoding: chunked',
+  ].forEach((lines) => {
+    expect(find(lines)).not.toEqual(undefined);
+  });
+});
