Keep connections open in a stop until their responses have been sent

A caller that read a long response slowly lost its end: some seconds into a planned stop the connection was closed after 3,919,677 of 7,340,032 bytes, of a call that an endpoint had run.

The cause: the stop closes idle connections with Node's closeIdleConnections, which takes a connection as idle once its response has been ended, also while bytes of it wait to be sent. The gateway and the router both did so.

The connection queue now knows which connections have no open request (a response counts until its last byte has been handed to the system) and no part of a request that has been read, and closes only those.

--- a/src/gateway/gatewayServer.ts
+++ b/src/gateway/gatewayServer.ts
@@ -139,7 +139,7 @@
    */
   drain(): Promise<void> {
     this.startDraining();
-    this.callerListener.closeIdleConnections();
+    this.connections.closeIdle(this.sockets);
     this.checkDrained();
     return this.drained.promise;
   }
--- a/src/server/callerServer.ts
+++ b/src/server/callerServer.ts
@@ -86,7 +86,7 @@
   /** Refuses new requests; resolves when no request is in flight. */
   drain(): Promise<void> {
     this.isDraining = true;
-    this.server.closeIdleConnections();
+    this.connections.closeIdle(this.sockets);
     this.resolveIfDrained();
     return this.drained.promise;
   }
--- a/src/server/connectionQueue.ts
+++ b/src/server/connectionQueue.ts
@@ -5,6 +5,8 @@
 import type { ServerResponse } from 'node:http';
 import type { Socket } from 'node:net';
 
+const NEW_CONNECTION = { openRequests: 0, idleBytesRead: 0 };
+
 /** One request in the queue of its connection. */
 export interface QueuedRequest {
   /** Resolves when the earlier responses have ended, with whether the connection can carry the response to this request. */
@@ -13,10 +15,18 @@
   readonly ended: Promise<void>;
 }
 
+/** What a connection has carried so far. */
+interface ConnectionState {
+  /** The end of the newest request. */
+  end: Promise<void>;
+  openRequests: number;
+  /** Number of bytes read when the last request ended; more have been read once another one has begun. */
+  idleBytesRead: number;
+}
+
 /** The requests of all connections of a server. */
 export class ConnectionQueue {
-  /** The end of the newest request of each connection. */
-  private readonly ends = new WeakMap<Socket, Promise<void>>();
+  private readonly states = new WeakMap<Socket, ConnectionState>();
 
   /**
    * Adds a request when its head has been read.
@@ -27,13 +37,37 @@
    */
   add(socket: Socket, response: ServerResponse): QueuedRequest {
     const turn = this.waitForTurn(socket);
-    const ended = waitForEnd(turn, response);
-    this.ends.set(socket, ended);
+    const ended = waitForEnd(turn, response).then(() => this.onEnd(socket));
+    const openRequests = (this.states.get(socket)?.openRequests ?? 0) + 1;
+    this.states.set(socket, { end: ended, openRequests, idleBytesRead: 0 });
     return { turn, ended };
   }
 
+  /**
+   * Closes the connections that have neither an open request nor a part of one. Node's `closeIdleConnections` also closes
+   * those of responses that have been ended but not sent yet.
+   *
+   * @example
+   * server.on('connection', (socket) => sockets.add(socket));
+   * queue.closeIdle(sockets);
+   */
+  closeIdle(sockets: Iterable<Socket>): void {
+    [...sockets].filter((socket) => this.isIdle(socket)).forEach((socket) => socket.destroy());
+  }
+
+  private isIdle(socket: Socket): boolean {
+    const { openRequests, idleBytesRead } = this.states.get(socket) ?? NEW_CONNECTION;
+    return openRequests === 0 && socket.bytesRead === idleBytesRead;
+  }
+
+  private onEnd(socket: Socket): void {
+    const state = this.states.get(socket)!;
+    state.openRequests -= 1;
+    state.idleBytesRead = socket.bytesRead;
+  }
+
   private async waitForTurn(socket: Socket): Promise<boolean> {
-    await this.ends.get(socket);
+    await this.states.get(socket)?.end;
     return socket.writable;
   }
 }
--- a/tests/support/rawCaller.ts
+++ b/tests/support/rawCaller.ts
@@ -49,6 +49,16 @@
     this.socket.write(text);
   }
 
+  /** Stops reading, so that the gateway's responses wait in its buffers. */
+  pause(): void {
+    this.socket.pause();
+  }
+
+  /** Reads on. */
+  resume(): void {
+    this.socket.resume();
+  }
+
   /** Closes the connection. */
   disconnect(): void {
     this.socket.destroy();
