Go on without a log when nobody reads it any more

A gateway whose standard error was a pipe that its reader had closed served no call, used a whole core and didn't react to SIGTERM.

The cause: the failed write of a log line ended in the handler of uncaught exceptions, which logs, so that the next write failed before anything else ran.

Errors of standard error are now ignored where the logger is created: they can't be logged. Calls and the stop go on.

--- a/src/core/logging.ts
+++ b/src/core/logging.ts
@@ -21,6 +21,7 @@
  * createLogger({ fields: { vm: 'router-1' } }).info('ready', { port: 8080 });
  */
 export function createLogger(options: LoggerOptions = {}): Logger {
+  ignoreOutputErrors();
   const { level = 'info', format = 'json', fields = {} } = options;
   const { combine, timestamp, json, simple } = winston.format;
   return winston.createLogger({
@@ -32,3 +33,12 @@
     ],
   });
 }
+
+/** Lets a process go on without a log when the reader of its output has left: the error can't be logged. */
+function ignoreOutputErrors(): void {
+  if (!process.stderr.listeners('error').includes(ignoreError)) {
+    process.stderr.on('error', ignoreError);
+  }
+}
+
+function ignoreError(): void {}
