Reset the connection of a cut response that ends with it

A caller whose response has no chunks (HTTP/1.0) received the first events of a stream that broke off, and then an orderly close: for it the stream was complete although its last pieces were missing.

Cause: a cut response was destroyed, which closes its connection with a FIN. A response that is delimited by the close of its connection is completed by that.

The connection of a response without chunks is now reset. Responses in chunks are still closed without their last chunk, which loses nothing that was sent. This holds for the gateway, for the older router and for unexpected errors.

--- a/src/gateway/callerConnection.ts
+++ b/src/gateway/callerConnection.ts
@@ -1,5 +1,6 @@
 /** The caller's side of one call, based on Node's HTTP server. */
 import type { ServerResponse } from 'node:http';
+import { cutResponse } from '../server/cutResponse.js';
 
 /** Writes one response and reports a caller that disconnects early. */
 export class CallerConnection {
@@ -76,7 +77,7 @@
 
   /** Destroys the connection, so that the caller can't mistake a truncated response for a complete one. */
   destroy(): void {
-    this.response.destroy();
+    cutResponse(this.response);
   }
 
   private writeHead(status: number, headers: readonly string[]): void {
--- a/src/gateway/gatewayServer.ts
+++ b/src/gateway/gatewayServer.ts
@@ -9,6 +9,7 @@
 import { PEER_PATH } from '../peers/peerRpc.js';
 import { handlePeerMessage, type PeerMessageHandler } from '../server/handlePeerMessage.js';
 import { ConnectionQueue } from '../server/connectionQueue.js';
+import { cutResponse } from '../server/cutResponse.js';
 import { createErrorBody, getErrorStatus } from '../server/errorBody.js';
 import { readBody } from '../server/readBody.js';
 import type { Address, CallerLimits, HeaderCodec } from '../types/gateway.js';
@@ -166,7 +167,7 @@
         this.options.logger.error('unexpected error while handling a request', {
           error: (error as Error).stack,
         });
-        response.destroy();
+        cutResponse(response);
       });
     });
   }
--- /dev/null
+++ b/src/server/cutResponse.ts
@@ -0,0 +1,18 @@
+/** Cuts a response that can't be completed. */
+import type { ServerResponse } from 'node:http';
+
+/**
+ * Closes the connection of a response so that the caller can't mistake what it received for a complete response.
+ *
+ * @example
+ * cutResponse(response); // in the middle of a stream
+ */
+export function cutResponse(response: ServerResponse): void {
+  const { socket } = response;
+  if (socket && response.headersSent && !response.chunkedEncoding) {
+    // The response may end with its connection, so an orderly close would complete it.
+    socket.resetAndDestroy();
+  } else {
+    response.destroy();
+  }
+}
--- a/src/server/nodeResponse.ts
+++ b/src/server/nodeResponse.ts
@@ -1,6 +1,7 @@
 /** Implements `CallerResponse` on a response of Node's HTTP server. */
 import type { ServerResponse } from 'node:http';
 import { CallerResponse } from '../types/exchange.js';
+import { cutResponse } from './cutResponse.js';
 
 export class NodeResponse extends CallerResponse {
   constructor(private readonly response: ServerResponse) {
@@ -50,6 +51,6 @@
   }
 
   override destroy(): void {
-    this.response.destroy();
+    cutResponse(this.response);
   }
 }
--- a/tests/support/rawCaller.ts
+++ b/tests/support/rawCaller.ts
@@ -11,6 +11,9 @@
 
   isClosedByGateway = false;
 
+  /** Whether the connection ended with a reset, not with an orderly close. */
+  isReset = false;
+
   private constructor(private readonly socket: Socket) {
     socket.on('data', (bytes: Buffer) => {
       this.received += bytes.toString('latin1');
@@ -21,7 +24,9 @@
     socket.on('close', () => {
       this.isClosedByGateway = true;
     });
-    socket.on('error', () => {});
+    socket.on('error', ({ code }: NodeJS.ErrnoException) => {
+      this.isReset ||= code === 'ECONNRESET';
+    });
   }
 
   /** Connects to the gateway; the connection ends with the test. */
@@ -33,9 +38,9 @@
   }
 
   /** Sends the head of a call and the start of its body, by default all of it. */
-  send(path: string, id: string, body = 'body', sentBody = body): void {
+  send(path: string, id: string, body = 'body', sentBody = body, version = 'HTTP/1.1'): void {
     const head = [
-      `POST ${path} HTTP/1.1`,
+      `POST ${path} ${version}`,
       `host: ${HOST}`,
       `shallotrock-attempt-id: ${id}`,
       `shallotrock-credential: ${CALLER_KEY}`,
