Don't take a response without a call id on a kept connection for the call's own

Callers were told "not run, try again" (503) for calls that an endpoint was running, or such a call ran at a second endpoint, after a faulty endpoint wrote an earlier refusal once more on a kept connection.

Cause: only a response with the id of another call was rejected. A copy without an id, or with the ids of both calls, was taken for the call's own response: as a proof that it had not run, and with its Retry-After and leaving signals applied to the endpoint. A copied error (400, 500) without an id was passed on to the caller.

A response now belongs to the call if it states the call's id and no other, or if it states none and its connection has carried no earlier call. Otherwise the connection is closed and the call counts as possibly executed: 502 for what may not be repeated, another endpoint within the limits for what may. Refusals without an id on a new connection are honoured as before.

--- a/src/gateway/forward/endpointAttempt.ts
+++ b/src/gateway/forward/endpointAttempt.ts
@@ -172,8 +172,8 @@
     const { message } = response;
     const status = message.statusCode ?? 0;
     const metadata = codec.readResponse(call.metadata.id, status, message.rawHeaders);
-    if (metadata.isCrossed) {
-      return this.abortAndFail('crossed');
+    if (!isAttributable(metadata, this.endpointCall.isConnectionReused())) {
+      return this.abortAndFail('crossed', `status ${status}`);
     }
     this.applyEndpointSignals(metadata);
     if (metadata.isNotRun) {
@@ -262,9 +262,9 @@
   }
 
   /** Fails the attempt and closes its connection, whose bytes can't be trusted. */
-  private abortAndFail(failure: AttemptFailure): Promise<AttemptResult> {
+  private abortAndFail(failure: AttemptFailure, detail?: string): Promise<AttemptResult> {
     this.endpointCall.abort();
-    return Promise.resolve(this.fail(failure));
+    return Promise.resolve(this.fail(failure, detail));
   }
 
   private fail(failure: AttemptFailure, detail?: string): AttemptResult {
@@ -303,6 +303,20 @@
   }
 }
 
+/**
+ * Returns whether a response belongs to the call that runs on its connection. On a connection that carried other calls,
+ * a response without a call id may be a late copy of one of their responses.
+ *
+ * @example
+ * isAttributable({ isCrossed: false, hasCallId: false }, true); // false
+ */
+export function isAttributable(
+  { isCrossed, hasCallId }: Pick<ResponseMetadata, 'isCrossed' | 'hasCallId'>,
+  isConnectionReused: boolean,
+): boolean {
+  return !isCrossed && (hasCallId || !isConnectionReused);
+}
+
 function isSuccess({ status }: ResponseMetadata): boolean {
   return status >= 200 && status < 300;
 }
--- a/src/gateway/forward/endpointCall.ts
+++ b/src/gateway/forward/endpointCall.ts
@@ -67,6 +67,11 @@
     return !this.hasFailed;
   }
 
+  /** Returns whether the connection carried other calls before, whose responses may still arrive on it. */
+  isConnectionReused(): boolean {
+    return this.clientRequest?.reusedSocket ?? false;
+  }
+
   /** Closes the connection, so that the endpoint stops its work. */
   abort(): void {
     this.isAborted = true;
--- a/src/types/gateway.ts
+++ b/src/types/gateway.ts
@@ -153,6 +153,8 @@
   readonly isWrongEndpoint: boolean;
   /** Whether the response has the id of another call. */
   readonly isCrossed: boolean;
+  /** Whether the response states the id of the call that it belongs to. */
+  readonly hasCallId: boolean;
   /** Whether the response has the call's id and the endpoint's seal, and is not compressed. */
   readonly isGenuine: boolean;
   /** Whether the endpoint states that it is leaving. */
--- a/tests/platform/codecs.test.ts
+++ b/tests/platform/codecs.test.ts
@@ -148,6 +148,11 @@
   const read = (status: number, ...raw: string[]) => codec.readResponse('a1', status, raw);
   expect(read(200, 'Shallotrock-Attempt-Id', 'b2').isCrossed).toEqual(true);
   expect(read(200, 'Shallotrock-Attempt-Id', 'a1').isCrossed).toEqual(false);
+  const bothIds = ['Shallotrock-Attempt-Id', 'a1', 'Shallotrock-Attempt-Id', 'b2'];
+  expect(read(200, ...bothIds).isCrossed).toEqual(true);
+  expect(read(503, 'Shallotrock-Attempt-Id', '').isCrossed).toEqual(true);
+  expect([read(503).hasCallId, read(503).isCrossed]).toEqual([false, false]);
+  expect(read(503, 'Shallotrock-Attempt-Id', 'a1').hasCallId).toEqual(true);
   expect(read(503, 'Shallotrock-Not-Executed', '1').isNotRun).toEqual(true);
   expect(read(503).isNotRun).toEqual(false);
   expect(read(421).isWrongEndpoint).toEqual(true);
