Refuse a success whose connection ends before the first byte of its body

What callers saw: a 200 with the endpoint's seal, an empty body and "content-length: 0", after an endpoint stopped between its head and its body and closed in order.

Cause: a response with neither a length nor chunks ends with its connection, so an orderly end right after the head is a whole, empty body to Node. For streams the gateway already took it for a truncation, for plain calls not.

Fix: a 2xx without length and chunks whose connection ends before its body fails the attempt as broken (it may have run). A server that means an empty body says so by "content-length: 0", no chunks or 204. Calls with HEAD are exempt. What remains: such a body that ends in order after its first byte can't be told from a whole one.

The test sends each of six sound responses up to each byte, then closes in order or resets, on new and kept connections, on three routes, and up to every 13th byte and each line end with the connection left open until the deadline; 2,315 and 216 cases. Without the fix it failed in 4 cases ("close, 82 bytes, end, /once/, kept false: truncated response framed as whole"). All other cases passed without it: they are a guard.

--- a/src/gateway/forward/endpointAttempt.ts
+++ b/src/gateway/forward/endpointAttempt.ts
@@ -13,7 +13,7 @@
   type IncomingResponse,
   type StreamRelay,
 } from './responseRelay.js';
-import { EndpointCall } from './endpointCall.js';
+import { EndpointCall, isCloseDelimited } from './endpointCall.js';
 import { isAbortable, type AttemptFailure } from './retryPolicy.js';
 
 /** How an attempt ended. */
@@ -233,6 +233,9 @@
     if (result.kind === 'broken') {
       return this.isStopped ? { kind: 'aborted' } : this.fail('broken', result.detail);
     }
+    if (isSuccess(metadata) && result.body.length === 0 && this.isBodyExpected(response)) {
+      return this.fail('broken', 'connection ended before the body');
+    }
     if (metadata.status >= SERVER_ERROR_STATUS && this.isFailoverPossible()) {
       return this.fail('serverError');
     }
@@ -249,6 +252,11 @@
     return { kind: 'done' };
   }
 
+  /** Returns whether a body was to follow until the end of the connection; without it, the endpoint may have stopped. */
+  private isBodyExpected({ message }: IncomingResponse): boolean {
+    return this.options.call.method !== 'HEAD' && isCloseDelimited(message);
+  }
+
   /** Returns whether another endpoint may execute the call; if not, the server error is passed to the caller. */
   private isFailoverPossible(): boolean {
     const { call, directory, endpoint } = this.options;
