--- a/src/transports/httpEndpointClient.ts
+++ b/src/transports/httpEndpointClient.ts
@@ -10,6 +10,7 @@
 } from '../types/endpoints.js';
 import { getErrorMessage } from '../core/utilities.js';
 import { BodyReader } from './bodyReader.js';
+import { createResetConnector } from './resetConnector.js';
 
 /** Options of the client. Times are in milliseconds. */
 export interface HttpEndpointClientOptions {
@@ -33,7 +34,7 @@
     super();
     const { connectTimeoutMs = 1_000, firstByteMs = 15_000, idleMs = 5_000 } = options;
     const limits = {
-      connect: { timeout: connectTimeoutMs },
+      connect: createResetConnector({ timeout: connectTimeoutMs }),
       headersTimeout: firstByteMs,
       bodyTimeout: idleMs,
     };
