Close idle TLS connections of a draining router

Since connections stay open in a stop until their responses have been sent, a draining router with TLS left its idle connections open until the end of the stop.

The cause: requests over TLS carry the decrypting socket, while the router passed the sockets of the connections, of which the queue knew no request, only that bytes had been read.

The queue now follows the server's connections itself, over TLS by their decrypting sockets.

With the sockets of the connections the new TLS test failed, the one without TLS did not: not ok 4 - of open TLS connections those without an open request or a part of one are closed error: 'The value { 4 entries } is not equal to { 4 entries }, but it was expected to be equal.'

--- a/src/gateway/gatewayServer.ts
+++ b/src/gateway/gatewayServer.ts
@@ -92,6 +92,7 @@
       this.handlePeer(message, response),
     );
     this.applyLimits(LIMITS_BEFORE_CONFIG);
+    this.connections.watch(this.callerListener);
     this.callerListener.on('connection', (socket: Socket) => {
       this.sockets.add(socket);
       socket.on('close', () => this.sockets.delete(socket));
@@ -140,7 +141,7 @@
    */
   drain(): Promise<void> {
     this.startDraining();
-    this.connections.closeIdle(this.sockets);
+    this.connections.closeIdle();
     this.checkDrained();
     return this.drained.promise;
   }
--- a/src/server/callerServer.ts
+++ b/src/server/callerServer.ts
@@ -59,6 +59,7 @@
   constructor(private readonly options: CallerServerOptions) {
     this.server = this.createServer();
     this.server.keepAliveTimeout = KEEP_ALIVE_TIMEOUT_MS;
+    this.connections.watch(this.server);
     this.server.on('connection', (socket: Socket) => {
       this.sockets.add(socket);
       socket.on('close', () => this.sockets.delete(socket));
@@ -86,7 +87,7 @@
   /** Refuses new requests; resolves when no request is in flight. */
   drain(): Promise<void> {
     this.isDraining = true;
-    this.connections.closeIdle(this.sockets);
+    this.connections.closeIdle();
     this.resolveIfDrained();
     return this.drained.promise;
   }
--- a/src/server/connectionQueue.ts
+++ b/src/server/connectionQueue.ts
@@ -3,7 +3,8 @@
  * response may still close the connection, because its own response could not be sent.
  */
 import type { ServerResponse } from 'node:http';
-import type { Socket } from 'node:net';
+import type { Server, Socket } from 'node:net';
+import { Server as TlsServer } from 'node:tls';
 
 const NEW_CONNECTION = { openRequests: 0, idleBytesRead: 0 };
 
@@ -28,6 +29,18 @@
 export class ConnectionQueue {
   private readonly states = new WeakMap<Socket, ConnectionState>();
 
+  private readonly sockets = new Set<Socket>();
+
+  /** Follows the connections of a server that has not begun to listen. */
+  watch(server: Server): void {
+    // Requests over TLS carry the decrypting socket, not that of the connection.
+    const event = server instanceof TlsServer ? 'secureConnection' : 'connection';
+    server.on(event, (socket: Socket) => {
+      this.sockets.add(socket);
+      socket.on('close', () => this.sockets.delete(socket));
+    });
+  }
+
   /**
    * Adds a request when its head has been read.
    *
@@ -44,15 +57,15 @@
   }
 
   /**
-   * Closes the connections that have neither an open request nor a part of one. Node's `closeIdleConnections` also closes
+   * Closes the watched connections that have neither an open request nor a part of one. Node's `closeIdleConnections` also closes
    * those of responses that have been ended but not sent yet.
    *
    * @example
-   * server.on('connection', (socket) => sockets.add(socket));
-   * queue.closeIdle(sockets);
+   * queue.watch(server);
+   * queue.closeIdle();
    */
-  closeIdle(sockets: Iterable<Socket>): void {
-    [...sockets].filter((socket) => this.isIdle(socket)).forEach((socket) => socket.destroy());
+  closeIdle(): void {
+    [...this.sockets].filter((socket) => this.isIdle(socket)).forEach((socket) => socket.destroy());
   }
 
   private isIdle(socket: Socket): boolean {
--- a/tests/unit/connectionQueue.test.ts
+++ b/tests/unit/connectionQueue.test.ts
@@ -1,7 +1,14 @@
 import { once } from 'node:events';
-import { createServer, type IncomingMessage, type ServerResponse } from 'node:http';
+import {
+  createServer,
+  type IncomingMessage,
+  type Server as HttpServer,
+  type ServerResponse,
+} from 'node:http';
+import { createServer as createTlsServer } from 'node:https';
 import { connect, type AddressInfo, type Socket } from 'node:net';
 import { test, type TestContext } from 'node:test';
+import { connect as connectTls, Server as TlsServer } from 'node:tls';
 import { expect } from 'earl';
 import { ConnectionQueue } from '../../src/server/connectionQueue.js';
 
@@ -74,30 +81,39 @@
   expect(received.endsWith('/a')).toEqual(true);
 });
 
-test('of open connections those without an open request or a part of one are closed', async (context) => {
+const PSK_OPTIONS = {
+  ciphers: 'PSK-AES128-GCM-SHA256',
+  maxVersion: 'TLSv1.2' as const,
+};
+const PSK = Buffer.alloc(16, 'k');
+
+/** Opens connections to a server in different states and closes the idle ones; returns which were closed. */
+async function closeIdleConnections(
+  context: TestContext,
+  server: HttpServer,
+  open: (port: number) => Socket,
+): Promise<Record<string, boolean>> {
   const queue = new ConnectionQueue();
-  const sockets = new Set<Socket>();
-  const server = createServer((message, response) => {
-    const { ended } = queue.add(message.socket, response);
-    void ended.then(() => server.emit('ended'));
+  queue.watch(server);
+  let endedRequests = 0;
+  server.on('request', (message: IncomingMessage, response: ServerResponse) => {
+    void queue.add(message.socket, response).ended.then(() => {
+      endedRequests += 1;
+    });
     response.end(message.url === '/short' ? 'short' : 'x'.repeat(LONG_BYTES));
   });
-  server.on('connection', (socket: Socket) => sockets.add(socket));
   server.listen(0, '127.0.0.1');
   await once(server, 'listening');
+  context.after(() => server.close());
   const { port } = server.address() as AddressInfo;
-  const open = async (text: string, isReading = true) => {
-    const accepted = once(server, 'connection');
-    const socket = connect(port, '127.0.0.1');
+  const event = server instanceof TlsServer ? 'secureConnection' : 'connection';
+  const accept = async (text: string): Promise<Socket> => {
+    const accepted = once(server, event);
+    const socket = open(port);
     context.after(() => socket.destroy());
     const [peer] = (await accepted) as [Socket];
-    const ended = text === SHORT_REQUEST ? once(server, 'ended') : undefined;
     socket.write(text);
-    if (isReading) {
-      socket.resume();
-    }
-    await ended;
-    while (text !== '' && peer.bytesRead < text.length) {
+    while (peer.bytesRead < text.length) {
       // Lets the server read.
       await new Promise((resolve) => {
         setImmediate(resolve);
@@ -105,16 +121,37 @@
     }
     return peer;
   };
-  context.after(() => server.close());
-  const unused = await open('');
-  const idle = await open(SHORT_REQUEST);
-  const partial = await open(SHORT_REQUEST.slice(0, 8));
-  const unread = await open(SHORT_REQUEST.replace('/short', '/long'), false);
-  queue.closeIdle(sockets);
-  expect([unused, idle, partial, unread].map(({ destroyed }) => destroyed)).toEqual([
-    true,
-    true,
-    false,
-    false,
-  ]);
+  const unused = await accept('');
+  const idle = await accept(SHORT_REQUEST);
+  const partial = await accept(SHORT_REQUEST.slice(0, 8));
+  // No client reads, so only a short response can be sent.
+  const unsent = await accept(SHORT_REQUEST.replace('/short', '/long'));
+  while (endedRequests < 1) {
+    await new Promise((resolve) => {
+      setImmediate(resolve);
+    });
+  }
+  queue.closeIdle();
+  const peers = Object.entries({ unused, idle, partial, unsent });
+  return Object.fromEntries(peers.map(([name, { destroyed }]) => [name, destroyed]));
+}
+
+const CLOSED = { unused: true, idle: true, partial: false, unsent: false };
+
+test('of open connections those without an open request or a part of one are closed', async (context) => {
+  const open = (port: number) => connect(port, '127.0.0.1').pause();
+  expect(await closeIdleConnections(context, createServer(), open)).toEqual(CLOSED);
+});
+
+test('of open TLS connections those without an open request or a part of one are closed', async (context) => {
+  const server = createTlsServer({ ...PSK_OPTIONS, pskCallback: () => PSK });
+  const open = (port: number) =>
+    connectTls({
+      ...PSK_OPTIONS,
+      port,
+      host: '127.0.0.1',
+      checkServerIdentity: () => undefined,
+      pskCallback: () => ({ psk: PSK, identity: 'caller' }),
+    }).pause();
+  expect(await closeIdleConnections(context, server, open)).toEqual(CLOSED);
 });
