--- a/tests/support/tcpProxy.ts
+++ b/tests/support/tcpProxy.ts
@@ -28,7 +28,12 @@
   /** Resets every open connection; new ones work. */
   reset(): void {
     this.pairs.forEach(({ inner, outer }) => {
-      inner.resetAndDestroy();
+      if (inner.writableEnded) {
+        // Node can't reset a connection that it is ending, and would leave it open.
+        inner.destroy();
+      } else {
+        inner.resetAndDestroy();
+      }
       outer.destroy();
     });
   }
