--- a/tests/reports/duplicateRefusal.test.ts
+++ b/tests/reports/duplicateRefusal.test.ts
@@ -3,6 +3,7 @@
 import { test, type TestContext } from 'node:test';
 import { expect } from 'earl';
 import { decodeEndpointEntry } from '../../platform/endpointEntry.js';
+import { SystemTimers } from '../../src/core/timers.js';
 import { isAttributable } from '../../src/gateway/forward/endpointAttempt.js';
 import type { Route } from '../../src/types/gateway.js';
 import { brandId } from '../../src/types/ids.js';
@@ -37,6 +38,7 @@
   'content-length: 4\r\n\r\nbusy',
   'transfer-encoding: chunked\r\n\r\n4\r\nbusy\r\n0\r\n\r\n',
   'content-length: 0\r\n\r\n',
+  '\r\nbusy',
 ];
 
 /** Returns the whole response of an endpoint that has run the call. */
@@ -46,6 +48,11 @@
   return `HTTP/1.1 200 OK\r\n${type}shallotrock-attempt-id: ${id}\r\n${SEAL}content-length: ${body.length}\r\n\r\n${body}`;
 }
 
+/** Where a copy or a response is cut into two segments: inside the status line, after it, and inside the headers. */
+const CUTS = [5, 24, 60];
+const SEGMENT_GAP_MS = 2;
+const timers = new SystemTimers();
+
 /** Returns copies of a refusal that differ in their other headers and in the framing of the body. */
 function createCopies(status: number, id: string): string[] {
   return EXTRAS.flatMap((extra, index) => {
@@ -62,31 +69,45 @@
   fleet.gateway.directory.apply(entry);
 }
 
-/** Runs the call `second` on the connection of the call `first`, on which the endpoint writes the copy first. */
+/** What an endpoint writes after its response to the call `first`, and for the call `second`, segment by segment. */
+interface Script {
+  readonly afterFirst?: string;
+  readonly forSecond: readonly string[];
+}
+
+function selectEach<Item>(items: readonly Item[], step: number): Item[] {
+  return items.filter((_, index) => index % step === 0);
+}
+
+/** Runs the call `second` after the call `first` on an endpoint, by default on the same connection. */
 async function playSecondCall(
   fleet: GatewayFleet,
   context: TestContext,
   route: Partial<Route>,
-  copy: string,
+  { afterFirst = '', forSecond }: Script,
 ): Promise<void> {
   const isStream = route.isStream ?? false;
   const sockets: Socket[] = [];
   const faulty = await startRawEndpoint(context, (socket, { id }) => {
     sockets.push(socket);
     if (id === 'first') {
-      socket.write(createAnswer(id, isStream));
+      socket.write(`${createAnswer(id, isStream)}${afterFirst}`);
     }
   });
   listEndpoint(fleet, 'faulty', faulty.port);
   await fleet.call('/a/x', { 'shallotrock-attempt-id': 'first' });
   const call = fleet.call('/a/x', { 'shallotrock-attempt-id': 'second' }).catch(() => undefined);
   await fleet.waitFor(() => faulty.calls.length === 2);
-  expect(sockets[1] === sockets[0]).toEqual(true);
+  const isKept = sockets[1] === sockets[0];
+  expect(isKept || afterFirst !== '').toEqual(true);
   const other = await startRawEndpoint(context, (socket) => {
     socket.write(createAnswer('second', isStream));
   });
   listEndpoint(fleet, 'other', other.port);
-  sockets[1]!.write(`${copy}${createAnswer('second', isStream)}`);
+  for (const segment of isKept ? forSecond : [createAnswer('second', isStream)]) {
+    sockets[1]!.write(segment);
+    await timers.sleep(SEGMENT_GAP_MS);
+  }
   const response = await call;
   const [instance] = fleet.gateway.directory.getEndpoints(fleet.service);
   const isRepeatable = route.repeatability === 'repeatable';
@@ -142,9 +163,53 @@
         const fleet = await GatewayFleet.start(context);
         await fleet.configure([createRoute('/a/', { attempts: 2, ...route })]);
         for (const copy of STATUSES.flatMap((status) => createCopies(status, id))) {
-          await playSecondCall(fleet, context, route, copy);
+          const answer = createAnswer('second', route.isStream ?? false);
+          await playSecondCall(fleet, context, route, { forSecond: [`${copy}${answer}`] });
         }
       },
     );
   });
 });
+
+ROUTES.forEach(([routeName, route]) => {
+  test(
+    `a copy of an earlier refusal that arrives in pieces or after a response does not end a ${routeName}`,
+    TIMEOUT,
+    async (context) => {
+      const fleet = await GatewayFleet.start(context);
+      await fleet.configure([createRoute('/a/', { attempts: 2, ...route })]);
+      const answer = createAnswer('second', route.isStream ?? false);
+      const copies = STATUSES.flatMap((status) => createCopies(status, ''));
+      const scripts = selectEach(copies, 11).flatMap((copy) => [
+        { afterFirst: copy, forSecond: [answer] },
+        ...CUTS.flatMap((cut) => {
+          const [start, end] = [copy.slice(0, cut), copy.slice(cut)];
+          return [
+            { afterFirst: start, forSecond: [`${end}${answer}`] },
+            { afterFirst: start, forSecond: [end, answer] },
+            { forSecond: [start, end, answer] },
+            { forSecond: [`${answer}${start}`, end] },
+            { forSecond: [answer.slice(0, cut), `${answer.slice(cut)}${copy}`] },
+          ];
+        }),
+        { forSecond: [`${answer}${copy}`] },
+        { forSecond: [answer, copy] },
+      ]);
+      for (const script of scripts) {
+        await playSecondCall(fleet, context, route, script);
+      }
+    },
+  );
+});
+
+test('a copy of an earlier refusal inside a stream cuts the stream', TIMEOUT, async (context) => {
+  const fleet = await GatewayFleet.start(context);
+  const route = { isStream: true };
+  await fleet.configure([createRoute('/a/', { attempts: 2, ...route })]);
+  const head = `HTTP/1.1 200 OK\r\nshallotrock-attempt-id: second\r\n${SEAL}transfer-encoding: chunked\r\n\r\n`;
+  const event = `${EVENT.length.toString(16)}\r\n${EVENT}\r\n`;
+  for (const copy of STATUSES.flatMap((status) => createCopies(status, ''))) {
+    await playSecondCall(fleet, context, route, { forSecond: [`${head}${event}`, copy, event] });
+    await playSecondCall(fleet, context, route, { forSecond: [head, `${copy}${event}`] });
+  }
+});
