Don't take a refusal without an id on a kept connection for a proof in the router

Callers of the router of prompts and orders were told that a call was not run ("ran": "not_run") on the word of a 429 or 503 that did not name the call. On a kept connection it may be a late copy of an earlier refusal, while the endpoint runs the call.

Cause: checkResponseHead rejected only a response with another id. Calls that may run at most once were not affected: they have a connection of their own.

A refusal now proves that the call was not run if it echoes the id of the attempt, or if the call has its own connection. Otherwise the attempt counts as sent: the refusal says "unknown", and a repeatable call may go on to another endpoint as before. The client doesn't tell whether a pooled connection is new, so the first call on one is treated the same way.

The stand-in of engines and the fake endpoints echo the id in their refusals too, as they do in other responses; without that their refusals would say "unknown".

--- a/src/relay/attempt.ts
+++ b/src/relay/attempt.ts
@@ -1,6 +1,11 @@
 /** One attempt of a call on one endpoint, and its result, which decides about a retry. */
 import type { VmId } from '../types/ids.js';
-import type { EndpointResponse, EndpointClient, EndpointFailure } from '../types/endpoints.js';
+import type {
+  EndpointCall,
+  EndpointResponse,
+  EndpointClient,
+  EndpointFailure,
+} from '../types/endpoints.js';
 import type { Exchange } from '../types/exchange.js';
 import type { Metrics } from '../core/metrics.js';
 import { createRefusal, type Refusal } from '../core/codes.js';
@@ -68,11 +73,14 @@
 
 /**
  * Checks the status and headers of a response. Returns `undefined` if the response can be relayed. A
- * response to another attempt, or a status 429 or 503, ends the attempt: neither is due to the request.
+ * response to another attempt, or a status 429 or 503, ends the attempt: neither is due to the request. On a connection
+ * that may have carried other calls, a refusal without the attempt's id may be a late copy of one of their refusals, so
+ * it does not prove that the call was not run.
  */
 export function checkResponseHead(
   attempt: Attempt,
   response: EndpointResponse,
+  { hasOwnConnection }: Pick<EndpointCall, 'hasOwnConnection'>,
 ): AttemptResult | undefined {
   const { slot, id, metrics } = attempt;
   const echoed = response.headers[ATTEMPT_HEADER];
@@ -94,7 +102,15 @@
   if (response.status === 429 || response.status === 503) {
     response.abort();
     slot.release({ kind: 'rejection' });
-    return createFailedResult(isLeaving ? 'leaving' : 'rejected', false, 'endpointRefused');
+    const reason = isLeaving ? 'leaving' : 'rejected';
+    return echoed === id || hasOwnConnection
+      ? createFailedResult(reason, false, 'endpointRefused')
+      : createFailedResult(
+          reason,
+          true,
+          'endpointFailed',
+          'a refusal without the id of the request',
+        );
   }
   return undefined;
 }
--- a/src/relay/bufferedChat.ts
+++ b/src/relay/bufferedChat.ts
@@ -36,13 +36,14 @@
   const startedAt = timers.now();
   const fields = { ...chat.fields, stream: false, max_tokens: chat.maxTokens };
   const firstByteMs = Math.max(1, exchange.deadline - startedAt);
-  const sent = await attempt.client.send({ ...createChatCall(attempt, fields), firstByteMs });
+  const call = { ...createChatCall(attempt, fields), firstByteMs };
+  const sent = await attempt.client.send(call);
   if (sent.err) {
     return failAttempt(attempt, sent.val);
   }
   const response = sent.val;
   const finalResult =
-    checkResponseHead(attempt, response) ?? (await checkErrorStatus(attempt, response));
+    checkResponseHead(attempt, response, call) ?? (await checkErrorStatus(attempt, response));
   if (finalResult) {
     return finalResult;
   }
--- a/src/relay/plainCall.ts
+++ b/src/relay/plainCall.ts
@@ -1,6 +1,6 @@
 /** Relays a call to a plain service. */
 import type { StoredResponse } from '../controllers/claimController.js';
-import type { EndpointResponse } from '../types/endpoints.js';
+import type { EndpointCall, EndpointResponse } from '../types/endpoints.js';
 import {
   ATTEMPT_HEADER,
   checkResponseHead,
@@ -30,21 +30,22 @@
   const { exchange, slot, timers, client, id, signal } = attempt;
   const { request } = exchange;
   const startedAt = timers.now();
-  const sent = await client.send({
+  const call: EndpointCall = {
     url: `${slot.endpoint.info.url}${options.path}${request.query}`,
     method: request.method,
     headers: { ...getForwardedHeaders(request.headers), [ATTEMPT_HEADER]: id },
     body: request.body.length > 0 ? request.body : undefined,
     hasOwnConnection: !exchange.isRetryable,
     signal,
-  });
+  };
+  const sent = await client.send(call);
   if (sent.err) {
     if (sent.val.kind !== 'unreachable') {
       recordCallUsage(attempt);
     }
     return failAttempt(attempt, sent.val);
   }
-  const finalResult = checkResponseHead(attempt, sent.val);
+  const finalResult = checkResponseHead(attempt, sent.val, call);
   if (finalResult) {
     return finalResult;
   }
--- a/src/relay/streamedChat.ts
+++ b/src/relay/streamedChat.ts
@@ -68,7 +68,7 @@
     }
     const endpointResponse = sent.val;
     const finalResult =
-      checkResponseHead(attempt, endpointResponse) ??
+      checkResponseHead(attempt, endpointResponse, call) ??
       (await checkErrorStatus(attempt, endpointResponse));
     return finalResult ?? this.relay(attempt, endpointResponse, startedAt);
   }
--- a/standins/engineStandin.ts
+++ b/standins/engineStandin.ts
@@ -109,12 +109,13 @@
       sendJson(response, 200, this.getReportedLoad());
       return;
     }
+    const echo = { 'x-request-id': String(message.headers['x-request-id'] ?? 'none') };
     if (this.faults.leaving) {
-      sendJson(response, 503, { error: 'leaving' }, { 'x-endpoint-leaving': 'yes' });
+      sendJson(response, 503, { error: 'leaving' }, { ...echo, 'x-endpoint-leaving': 'yes' });
       return;
     }
     if (!(await this.acquireSlot(Number(message.headers['x-priority'] ?? 0)))) {
-      sendJson(response, 429, { error: 'full' });
+      sendJson(response, 429, { error: 'full' }, echo);
       return;
     }
     if (JSON.stringify(body.messages).includes(CRASH_TEXT)) {
--- a/tests/support/fakeEndpoints.ts
+++ b/tests/support/fakeEndpoints.ts
@@ -87,11 +87,12 @@
       return Err({ kind: 'unreachable', detail: 'down' });
     }
     endpoints.calls.set(endpoint, (endpoints.calls.get(endpoint) ?? 0) + 1);
+    const echo = { 'x-request-id': call.headers['x-request-id']! };
     if (faults.leaving) {
-      return Ok(createResponse(503, { 'x-endpoint-leaving': 'yes' }, []));
+      return Ok(createResponse(503, { ...echo, 'x-endpoint-leaving': 'yes' }, []));
     }
     if (faults.rejecting) {
-      return Ok(createResponse(503, {}, []));
+      return Ok(createResponse(503, echo, []));
     }
     return call.url.includes('/v1/') ? this.chat(endpoint, call, faults) : this.order(call, faults);
   }
