End a call to a peer whose response has another id

A call to a peer that got the response to another message, or an error without an id, never ended: not even its timeout ended it, and whatever waited for it waited forever.

Cause: the JSON-RPC client ignores a response with an unknown id, and the timeout covers only the HTTP exchange, which had ended.

The id is now compared after the exchange, and the call fails.

--- a/src/peers/peerRpc.ts
+++ b/src/peers/peerRpc.ts
@@ -89,7 +89,13 @@
       [SIGNATURE_HEADER]: getSignature(sharedKey, body),
     };
     const url = `http://${address}${PEER_PATH}`;
-    return JSON.parse(await this.sendRequest(url, headers, body, timeoutMs)) as JSONRPCResponse;
+    const received = await this.sendRequest(url, headers, body, timeoutMs);
+    const response = JSON.parse(received) as JSONRPCResponse;
+    // The JSON-RPC client ignores a response with another id, and the call would never end.
+    if (response.id !== message.id) {
+      throw new Error('the response belongs to another message');
+    }
+    return response;
   }
 
   /** The timeout covers the complete response, since a connection may stop delivering data at any point. */
