Refuse a transfer coding other than chunked in the older router

What callers of a plain service saw: a 200 whose body is the coded bytes, such as the sizes of chunks among the data, or a body still compressed, framed as whole.

Cause: undici decodes only chunks and passes on a body in any other transfer coding, and the older router does not pass on the header that names it.

Fix: a response with any Transfer-Encoding other than one "chunked" fails as broken (it may have run), as in the gateway.

Without the fix the test failed for six of six codings, for example gzip: body "4\r\ndata\r\n0\r\n\r\n" instead of a failure.

--- a/src/transports/httpEndpointClient.ts
+++ b/src/transports/httpEndpointClient.ts
@@ -55,6 +55,14 @@
         headersTimeout: call.firstByteMs,
         dispatcher: call.hasOwnConnection ? this.singleUseAgent : this.keepAliveAgent,
       });
+      const coding = response.headers['transfer-encoding'];
+      if (coding !== undefined && String(coding).toLowerCase() !== 'chunked') {
+        // undici decodes only chunks.
+        response.body.on('error', () => {});
+        response.body.destroy();
+        call.signal.removeEventListener('abort', abort);
+        return Err({ kind: 'broken', detail: 'transfer coding is not chunked' });
+      }
       return Ok({
         status: response.statusCode,
         headers: response.headers as Record<string, string | undefined>,
--- a/tests/reports/truncatedServiceResponse.test.ts
+++ b/tests/reports/truncatedServiceResponse.test.ts
@@ -1,4 +1,4 @@
-/** Failure: a response that ends with its connection is reset, and the older router's callers receive a whole body. */
+/** Failure: a response is reset, or coded, and the older router's callers receive a part or the coded bytes as its body. */
 import { once } from 'node:events';
 import { createServer, type AddressInfo, type Socket } from 'node:net';
 import { test, type TestContext } from 'node:test';
@@ -65,3 +65,26 @@
   const call = await createCaller(context, (socket) => socket.end(`${HEAD}\r\nwhole`));
   expect([await call(true), await call(false)]).toEqual(['whole', 'whole']);
 });
+
+[
+  'gzip',
+  'identity',
+  'chunked;q=1',
+  'chunked, gzip',
+  'gzip, chunked',
+  'chunked\r\ntransfer-encoding: gzip',
+].forEach((coding) => {
+  test(`a body in the transfer coding ${JSON.stringify(coding)} is not passed on`, async (context) => {
+    const call = await createCaller(context, (socket) =>
+      socket.end(`${HEAD}transfer-encoding: ${coding}\r\n\r\n4\r\ndata\r\n0\r\n\r\n`),
+    );
+    expect([await call(true), await call(false)]).toEqual([undefined, undefined]);
+  });
+});
+
+test('a body in chunks is passed on', async (context) => {
+  const call = await createCaller(context, (socket) =>
+    socket.end(`${HEAD}Transfer-Encoding: Chunked\r\n\r\n4\r\ndata\r\n0\r\n\r\n`),
+  );
+  expect([await call(true), await call(false)]).toEqual(['data', 'data']);
+});
