Print the calls that the soak of stops excuses

A call that ran and got no whole answer is no finding if its timeout had passed, or if its endpoint still worked in the last sixth of the grace period and it began at most 3 s after the signal.

--- a/tests/properties/stopFuzz.ts
+++ b/tests/properties/stopFuzz.ts
@@ -15,12 +15,13 @@
 const firstSeed = Number(values.seed);
 let failedRuns = 0;
 for (let seed = firstSeed; seed < firstSeed + runs; seed += 1) {
-  const { findings, counts, events } = await runStopSoak({
+  const { findings, excused, counts, events } = await runStopSoak({
     seed,
     graceS: Number(values['grace-s']),
     logDirectory: values.logs,
   });
   process.stdout.write(`seed ${seed}: ${findings.length} findings, ${JSON.stringify(counts)}\n`);
+  excused.forEach((line) => process.stdout.write(`  excused, ${line}\n`));
   if (findings.length > 0) {
     failedRuns += 1;
     [...findings, ...events].forEach((line) => process.stdout.write(`  ${line}\n`));
--- a/tests/support/soakVerdict.ts
+++ b/tests/support/soakVerdict.ts
@@ -34,6 +34,8 @@
 /** The findings and what was counted. */
 export interface SoakVerdict {
   readonly findings: readonly string[];
+  /** Calls that ran and got no whole answer, with the reason why that is no finding. */
+  readonly excused: readonly string[];
   /** Number of requests by what they got. */
   readonly counts: Readonly<Record<string, number>>;
 }
@@ -54,6 +56,7 @@
 export function judgeRequests({ requests, runs, stops, graceS }: VerdictOptions): SoakVerdict {
   const counts: Record<string, number> = {};
   const findings: string[] = [];
+  const excused: string[] = [];
   requests.forEach((request) => {
     const stop = stops.find(({ gateway, signalledAt, endedAt }) => {
       const { answer } = request;
@@ -61,13 +64,15 @@
         gateway === request.gateway && request.startedAt <= endedAt && answer.endedAt >= signalledAt
       );
     });
-    const finding = judge(request, runs.get(request.id), stop, graceS);
+    const run = runs.get(request.id);
+    const verdict = judge(request, run, stop, graceS);
     const result = request.answer.status ?? 'no whole answer';
-    const ran = runs.has(request.id) ? 'ran' : 'not run';
+    const ran = run ? 'ran' : 'not run';
     const name = `${result}, ${ran}${stop ? ', in a stop' : ''}`;
     counts[name] = (counts[name] ?? 0) + 1;
-    if (finding !== undefined) {
-      findings.push(`${finding}: ${describe(request, runs.get(request.id), stop)}`);
+    if (verdict) {
+      const lines = verdict.isExcused ? excused : findings;
+      lines.push(`${verdict.reason}: ${describe(request, run, stop)}`);
     }
   });
   stops.forEach(({ gateway, end, signalledAt, endedAt }) => {
@@ -77,7 +82,7 @@
       );
     }
   });
-  return { findings, counts };
+  return { findings, excused, counts };
 }
 
 function judge(
@@ -85,20 +90,22 @@
   run: EndpointRun | undefined,
   stop: Stop | undefined,
   graceS: number,
-): string | undefined {
+): { readonly reason: string; readonly isExcused: boolean } | undefined {
+  const find = (reason: string) => ({ reason, isExcused: false });
+  const excuse = (reason: string) => ({ reason, isExcused: true });
   const { status, sentAt, endedAt } = answer;
   if (run && run.count > 1) {
-    return 'ran twice';
+    return find('ran twice');
   }
   if (status !== undefined) {
-    return run && NOT_RUN_STATUSES.has(status) ? 'ran, and refused as not run' : undefined;
+    return run && NOT_RUN_STATUSES.has(status) ? find('ran, and refused as not run') : undefined;
   }
   if (!run) {
     const isRead = sentAt !== undefined && endedAt > sentAt + LOSS_SLACK_MS;
-    return isRead ? 'not run, and no answer' : undefined;
+    return isRead ? find('not run, and no answer') : undefined;
   }
   if (endedAt - startedAt >= timeoutMs) {
-    return undefined;
+    return excuse('its timeout had passed');
   }
   // An endpoint that still works near the end of the grace period can't be waited for.
   const isLate =
@@ -106,7 +113,9 @@
     startedAt <= stop.signalledAt + PLANNED_AFTER_SIGNAL_MS &&
     (run.isAborted || run.endedAt === undefined || run.endedAt > endedAt - 1) &&
     endedAt > stop.signalledAt + graceS * 1_000 * WORK_SHARE_OF_GRACE;
-  return isLate ? undefined : 'ran, and no whole answer';
+  return isLate
+    ? excuse('its endpoint still worked at the end of the grace period')
+    : find('ran, and no whole answer');
 }
 
 function describe(
