Handle signals for the whole life of a process

Callers saw: around a planned stop, connections closed on calls that an endpoint had run, when the process got a second SIGTERM or SIGINT during its stop, a signal while it already accepted but had not started, SIGHUP before the gateway was created, or SIGQUIT, SIGUSR2 or SIGALRM at any time.

Cause: the commands waited with process.once for SIGTERM and SIGINT, and only after the start. Any other or further signal met the default, which ends the process at once. SIGHUP had a handler in the gateway only. The log had no line for a signal, so it could not show what ended a process.

Fix: one SignalController for the gateway, the router and the launcher. Its handlers are set before the modules of the command load and never removed. The first stop signal (SIGTERM, SIGINT, SIGQUIT) starts the stop; all others change nothing; each is logged with what it changes, and the last line names the signal that started the stop. A stop requested during the start follows it; one requested before ends the process before it accepts. A service that could not start is stopped, so that its open listeners answer and close.

--- a/launch/start.ts
+++ b/launch/start.ts
@@ -3,8 +3,9 @@
  * responses, the budgets and the audit, then serves until Ctrl-C. `--once` exits after the audit.
  */
 import { parseArgs } from 'node:util';
-import { waitForStopSignal } from '../src/commands/command.js';
 import { runMain } from '../src/commands/main.js';
+import { SignalController } from '../src/commands/signalController.js';
+import { createLogger } from '../src/core/logging.js';
 import { setFaults, sampleKeys, startFleet, waitUntilReady, type Fleet } from './fleet.js';
 
 const FIRST_PORT = 8080;
@@ -67,7 +68,11 @@
 
 async function run(): Promise<void> {
   // Listens before the fleet starts, so that a signal during the start stops the fleet as well.
-  const stopSignal = waitForStopSignal();
+  // A terminal that closes sends SIGHUP; the processes of the fleet would outlive the launcher.
+  const signals = new SignalController({ stopSignals: ['SIGTERM', 'SIGINT', 'SIGQUIT', 'SIGHUP'] });
+  signals.listen();
+  signals.startLogging(createLogger({ level: values.verbose ? 'info' : 'warn' }));
+  const stopSignal = signals.waitForStopSignal();
   const hasAutoPorts = values.ports === 'auto' || values.once;
   const fleet = await startFleet({
     firstPort: hasAutoPorts ? 0 : FIRST_PORT,
--- a/src/commands/command.ts
+++ b/src/commands/command.ts
@@ -1,7 +1,9 @@
 /** Types and helpers shared by the commands. */
 import { parseArgs, type ParseArgsConfig } from 'node:util';
-import { createDeferred, getErrorMessage } from '../core/utilities.js';
+import type { Logger } from '../core/logging.js';
+import { getErrorMessage } from '../core/utilities.js';
 import { exitCodes, type ExitCode } from './exitCodes.js';
+import type { SignalController } from './signalController.js';
 
 /** The output streams of a command. */
 export interface Output {
@@ -16,7 +18,11 @@
   readonly name: string;
   /** The help text. */
   readonly help: string;
-  readonly run: (args: readonly string[], output: Output) => Promise<ExitCode>;
+  readonly run: (
+    args: readonly string[],
+    output: Output,
+    signals: SignalController,
+  ) => Promise<ExitCode>;
 }
 
 /** Parsed arguments of a command. */
@@ -50,13 +56,34 @@
   return value;
 }
 
-/** Resolves on the first SIGTERM or SIGINT. */
-export function waitForStopSignal(): Promise<void> {
-  const signalled = createDeferred<void>();
-  (['SIGTERM', 'SIGINT'] as const).forEach((signal) => {
-    process.once(signal, () => signalled.resolve());
-  });
-  return signalled.promise;
+/** A part of a process that runs until a signal requests its stop. */
+export interface Service {
+  readonly start: () => Promise<unknown>;
+  readonly stop: () => Promise<void>;
+  readonly logger: Logger;
+}
+
+/**
+ * Runs a service until a signal requests its stop. Does not start it if one has already; a stop requested during the
+ * start waits for its end. A service that could not start is stopped, since some of its listeners may accept.
+ *
+ * @example
+ * await runService({ start: () => router.start(), stop: () => router.stop(), logger }, signals);
+ */
+export async function runService(
+  { start, stop, logger }: Service,
+  signals: SignalController,
+): Promise<void> {
+  signals.startLogging(logger);
+  if (signals.getStopSignal() === undefined) {
+    try {
+      await start();
+      await signals.waitForStopSignal();
+    } finally {
+      await stop();
+    }
+  }
+  logger.info('process ending', { stopSignal: signals.getStopSignal() });
 }
 
 /** Prints the error of a log that could not be read and returns the exit code. */
--- a/src/commands/gatewayCommand.ts
+++ b/src/commands/gatewayCommand.ts
@@ -6,23 +6,25 @@
 import { CONFIG_KEY, READINESS_PATH, topics } from '../../platform/names.js';
 import { getSettingsFile, readSettingsFile } from '../../platform/settings.js';
 import { StoreClient } from '../../platform/storeClient.js';
-import { createLogger } from '../core/logging.js';
+import { createLogger, type Logger } from '../core/logging.js';
 import { createMetrics } from '../core/metrics.js';
 import { SystemTimers } from '../core/timers.js';
 import { Gateway } from '../gateway/gateway.js';
 import { HttpPeerClient } from '../peers/peerRpc.js';
 import type { DeploymentSettings } from '../types/gateway.js';
 import { brandId, type Incarnation } from '../types/ids.js';
-import { parseCommandArgs, waitForStopSignal, type Command, type Output } from './command.js';
+import { parseCommandArgs, runService, type Command, type Output } from './command.js';
 import { exitCodes, type ExitCode } from './exitCodes.js';
+import type { SignalController } from './signalController.js';
 
 const help = `Usage: shallotrock gateway [--settings FILE] [--log-level LEVEL]
 
-Runs a gateway on the platform until SIGTERM or SIGINT; then it takes no new connections, lets calls in
-flight end and exits within the platform's grace. SIGHUP is noted and changes nothing. Without --settings the
-platform's environment names the file. Logs go to standard error.
+Runs a gateway on the platform until SIGTERM, SIGINT or SIGQUIT; then it takes no new connections, lets calls
+in flight end and exits within the platform's grace. Further signals don't shorten the stop. SIGHUP, SIGUSR1 and
+SIGUSR2 are noted and change nothing. Without --settings the platform's environment names the file. Logs go to
+standard error.
 
-Exit codes: 0 stopped; 2 an error in the settings
+Exit codes: 0 stopped; 2 an error in the settings; 3 could not start
 `;
 
 /** Runs a gateway. */
@@ -35,7 +37,11 @@
 // Gateways reach each other only on the platform's internal network; the signature rejects unrelated traffic.
 const DEFAULT_SHARED_KEY = 'shallotrock-gateway-peers';
 
-async function runGateway(args: readonly string[], output: Output): Promise<ExitCode> {
+async function runGateway(
+  args: readonly string[],
+  output: Output,
+  signals: SignalController,
+): Promise<ExitCode> {
   const { values } = parseCommandArgs(args, {
     settings: { type: 'string' },
     'log-level': { type: 'string' },
@@ -51,17 +57,16 @@
     return exitCodes.usage;
   }
   const level = values['log-level'] as string | undefined;
-  const { gateway, closeClients } = createGateway(deployment.val, level);
-  await gateway.start();
-  await waitForStopSignal();
-  await gateway.stop();
-  await closeClients();
+  const { gateway, logger, closeClients } = createGateway(deployment.val, level);
+  const stop = () => gateway.stop().finally(closeClients);
+  await runService({ start: () => gateway.start(), stop, logger }, signals);
   return exitCodes.ok;
 }
 
 /** A gateway with a function that closes its connections to other systems. */
 export interface GatewayWithClients {
   readonly gateway: Gateway;
+  readonly logger: Logger;
   readonly closeClients: () => Promise<void>;
 }
 
@@ -69,9 +74,6 @@
 export function createGateway(deployment: DeploymentSettings, level?: string): GatewayWithClients {
   const timers = new SystemTimers();
   const logger = createLogger({ level, fields: { vm: deployment.vm } });
-  process.on('SIGHUP', () =>
-    logger.info('received SIGHUP; settings are not reloaded', { signal: 'SIGHUP' }),
-  );
   // An exception in one call's event handler must not end the other calls. Calls share no state, so the
   // process can continue.
   process.on('uncaughtException', (error, origin) => {
@@ -107,7 +109,7 @@
   const closeClients = async () => {
     await Promise.all(closeCallbacks.map((close) => close()));
   };
-  return { gateway, closeClients };
+  return { gateway, logger, closeClients };
 }
 
 /**
--- a/src/commands/main.ts
+++ b/src/commands/main.ts
@@ -3,12 +3,15 @@
 import { getErrorMessage } from '../core/utilities.js';
 import { UsageError, type Command, type Output } from './command.js';
 import { exitCodes, type ExitCode } from './exitCodes.js';
+import { SignalController } from './signalController.js';
 
 /** A command, loaded on demand so that a gateway starts without the modules of the other commands. */
 interface CommandEntry {
   readonly name: string;
   /** The one-line description in the list of commands. */
   readonly summary: string;
+  /** Whether it runs until a signal requests its stop. Default false: a signal ends the process at once. */
+  readonly isService?: boolean;
   readonly load: () => Promise<Command>;
 }
 
@@ -16,11 +19,13 @@
   {
     name: 'gateway',
     summary: 'run a gateway on the platform',
+    isService: true,
     load: async () => (await import('./gatewayCommand.js')).gatewayCommand,
   },
   {
     name: 'router',
     summary: 'run a router',
+    isService: true,
     load: async () => (await import('./routerCommand.js')).routerCommand,
   },
   {
@@ -63,21 +68,27 @@
   if (!entry) {
     return printOverview(name, output);
   }
+  const signals = new SignalController();
+  if (entry.isService) {
+    // Before the modules load, which takes longer than the rest of the start.
+    signals.listen();
+  }
   const command = await entry.load();
   if (rest.includes('--help') || rest.includes('-h')) {
     output.out(command.help);
     return exitCodes.ok;
   }
-  return tryRun(command, rest, output);
+  return tryRun(command, rest, output, signals);
 }
 
 async function tryRun(
   command: Command,
   args: readonly string[],
   output: Output,
+  signals: SignalController,
 ): Promise<ExitCode> {
   try {
-    return await command.run(args, output);
+    return await command.run(args, output, signals);
   } catch (error) {
     if (error instanceof UsageError) {
       output.error(`error 8002: ${error.message}`);
--- a/src/commands/routerCommand.ts
+++ b/src/commands/routerCommand.ts
@@ -1,5 +1,5 @@
 /** The `shallotrock router` command: runs a router. */
-import { createLogger } from '../core/logging.js';
+import { createLogger, type Logger } from '../core/logging.js';
 import { createMetrics } from '../core/metrics.js';
 import { formatSettingsProblem, readSettings, type Settings } from '../core/settings.js';
 import { SystemTimers } from '../core/timers.js';
@@ -11,18 +11,20 @@
 import {
   getRequiredOption,
   parseCommandArgs,
-  waitForStopSignal,
+  runService,
   type Command,
   type Output,
 } from './command.js';
 import { exitCodes, type ExitCode } from './exitCodes.js';
+import type { SignalController } from './signalController.js';
 
 const help = `Usage: shallotrock router --config FILE
 
-Runs a router until SIGTERM or SIGINT; then it refuses new requests, lets those in flight end, gives
-back its allotments and exits. Prints {"listening":PORT} once it listens. Logs go to standard error.
+Runs a router until SIGTERM, SIGINT or SIGQUIT; then it refuses new requests, lets those in flight end,
+gives back its allotments and exits. Further signals don't shorten the stop. SIGHUP, SIGUSR1 and SIGUSR2
+are noted and change nothing. Prints {"listening":PORT} once it listens. Logs go to standard error.
 
-Exit codes: 0 stopped; 2 an error in the settings
+Exit codes: 0 stopped; 2 an error in the settings; 3 could not start
 `;
 
 /** Runs a router. */
@@ -32,25 +34,30 @@
   run: runRouter,
 };
 
-async function runRouter(args: readonly string[], output: Output): Promise<ExitCode> {
+async function runRouter(
+  args: readonly string[],
+  output: Output,
+  signals: SignalController,
+): Promise<ExitCode> {
   const { values } = parseCommandArgs(args, { config: { type: 'string' } });
   const settings = readSettings(getRequiredOption(values, 'config'));
   if (settings.err) {
     settings.val.forEach((problem) => output.error(formatSettingsProblem(problem)));
     return exitCodes.usage;
   }
-  const { router, closeClients } = createRouter(settings.val);
-  const port = await router.start();
-  output.out(JSON.stringify({ listening: port }));
-  await waitForStopSignal();
-  await router.stop();
-  await closeClients();
+  const { router, logger, closeClients } = createRouter(settings.val);
+  const start = async () => {
+    output.out(JSON.stringify({ listening: await router.start() }));
+  };
+  const stop = () => router.stop().finally(closeClients);
+  await runService({ start, stop, logger }, signals);
   return exitCodes.ok;
 }
 
 /** A router with a function that closes its connections to other systems once the router has stopped. */
 export interface RouterWithClients {
   readonly router: Router;
+  readonly logger: Logger;
   readonly closeClients: () => Promise<void>;
 }
 
@@ -85,5 +92,5 @@
   const closeClients = async () => {
     await Promise.all(closeCallbacks.map((close) => close()));
   };
-  return { router, closeClients };
+  return { router, logger, closeClients };
 }
