End a stop whose accounts can't be settled

Cause: Gateway.stop and Router.stop waited for escrow.drain, escrow.stop and the flush with isFulfilledWithin, which rejects if the promise does. The steps after it, among them the answers to open calls, were left out. The timer of the wait was left running as well.

Fix: a step that fails is logged with its error, and the next ones follow.

--- a/src/core/timers.ts
+++ b/src/core/timers.ts
@@ -47,13 +47,32 @@
     return promise;
   }
 
-  /** Returns whether the promise is fulfilled within the timeout. Rejects if the promise rejects before. */
-  async isFulfilledWithin(promise: Promise<unknown>, timeoutMs: number): Promise<boolean> {
+  /**
+   * Returns whether the promise is fulfilled within the timeout. If the promise rejects, passes the error to `onRejected`
+   * and returns false; without `onRejected`, rejects if the promise rejects before the timeout.
+   */
+  async isFulfilledWithin(
+    promise: Promise<unknown>,
+    timeoutMs: number,
+    onRejected?: (error: unknown) => void,
+  ): Promise<boolean> {
     const timeout = createDeferred<boolean>();
     const unsubscribe = this.subscribe(timeoutMs, () => timeout.resolve(false));
-    const result = await Promise.race([promise.then(() => true), timeout.promise]);
-    unsubscribe();
-    return result;
+    const fulfilled = promise.then(
+      () => true,
+      (error: unknown) => {
+        if (!onRejected) {
+          throw error;
+        }
+        onRejected(error);
+        return false;
+      },
+    );
+    try {
+      return await Promise.race([fulfilled, timeout.promise]);
+    } finally {
+      unsubscribe();
+    }
   }
 }
 
--- a/src/gateway/gateway.ts
+++ b/src/gateway/gateway.ts
@@ -4,6 +4,7 @@
 import type { Result } from '../core/results.js';
 import type { TimerService } from '../core/timers.js';
 import { createRefusal } from '../core/codes.js';
+import { getErrorMessage } from '../core/utilities.js';
 import { LoadController } from '../controllers/loadController.js';
 import { TransferController } from '../controllers/transferController.js';
 import { AccountShard } from '../escrow/accountShard.js';
@@ -175,12 +176,14 @@
     await timers.sleep(Math.min(STOP_UNREADY_MS, deployment.graceMs / 2));
     const drainTimeoutMs = deployment.graceMs - STOP_MARGIN_MS - (timers.now() - startedAt);
     this.stopDeadline = timers.now() + drainTimeoutMs;
+    const { logFailedStop } = this;
     const drained = this.server.drain().then(() => this.escrow.drain());
-    const isDrained = await timers.isFulfilledWithin(drained, drainTimeoutMs);
+    const isDrained = await timers.isFulfilledWithin(drained, drainTimeoutMs, logFailedStop);
     const settleTimeoutMs = deployment.graceMs - STOP_MARGIN_MS / 2 - (timers.now() - startedAt);
     const isSettled = await timers.isFulfilledWithin(
       this.escrow.stop(),
       Math.max(1, settleTimeoutMs),
+      logFailedStop,
     );
     this.peerSync.stop();
     this.poison.stop();
@@ -200,6 +203,11 @@
     });
   }
 
+  /** Logs why a step of the stop failed. The next steps follow: without them listeners stay open and calls are cut. */
+  private readonly logFailedStop = (error: unknown): void => {
+    this.options.logger.error('step of the stop failed', { error: getErrorMessage(error) });
+  };
+
   private getRandom(): () => number {
     return this.options.random ?? Math.random;
   }
--- a/src/router.ts
+++ b/src/router.ts
@@ -11,7 +11,7 @@
 import type { Metrics } from './core/metrics.js';
 import type { Settings } from './core/settings.js';
 import type { TimerService, Unsubscribe } from './core/timers.js';
-import { getSha256 } from './core/utilities.js';
+import { getErrorMessage, getSha256 } from './core/utilities.js';
 import {
   BudgetController,
   getBudgetStream,
@@ -193,7 +193,9 @@
     logger.info('draining', { open: this.server.getOpenRequests() });
     const { drainMs, flushMs } = settings.shutdown;
     await timers.isFulfilledWithin(this.server.drain(), drainMs);
-    const isFlushed = await timers.isFulfilledWithin(this.flush(), flushMs);
+    const isFlushed = await timers.isFulfilledWithin(this.flush(), flushMs, (error) =>
+      logger.error('allotments not returned', { error: getErrorMessage(error) }),
+    );
     this.stopImmediately();
     await this.server.close();
     logger.info('stopped', { isFlushed });
