--- a/tests/process/failures.test.ts
+++ b/tests/process/failures.test.ts
@@ -10,6 +10,7 @@
   getOrderRunCounts,
   parseStream,
   sendOrder,
+  sendOrderUntilCreated,
   startChat,
   startReadyFleet,
   waitFor,
@@ -55,18 +56,6 @@
   return text;
 }
 
-/** Sends an order to the routers in turn until one of them completes it. */
-async function sendOrderUntilCreated(key: string, urls: readonly string[]): Promise<void> {
-  for (let number = 0; number < 100; number += 1) {
-    const response = await sendOrder(urls[number % urls.length]!, key).catch(() => undefined);
-    if (response?.status === 201) {
-      return;
-    }
-    await sleep(200);
-  }
-  throw new Error(`order ${key} got no 201 response in 100 attempts`);
-}
-
 test('after an endpoint fails during a stream, another one completes the response', async () => {
   const expected = parseStream(await (await startChat(fleet.routerUrls[0]!, 'dies')).text());
   await setEngineFaults({ breakAfter: 20 });
--- a/tests/support/fleetCalls.ts
+++ b/tests/support/fleetCalls.ts
@@ -114,6 +114,18 @@
   });
 }
 
+/** Sends an order to the routers in turn until one of them completes it. */
+export async function sendOrderUntilCreated(key: string, urls: readonly string[]): Promise<void> {
+  for (let number = 0; number < 100; number += 1) {
+    const response = await sendOrder(urls[number % urls.length]!, key).catch(() => undefined);
+    if (response?.status === 201) {
+      return;
+    }
+    await sleep(200);
+  }
+  throw new Error(`order ${key} got no 201 response in 100 attempts`);
+}
+
 /** Returns the words of a streamed response, and whether the stream is complete. */
 export function parseStream(text: string): { words: string; isComplete: boolean } {
   const words = text
