Test repeated signals and the end of the terminal at the launcher

The test of Ctrl-C runs for three series of signals to the process group. On the code before the signals were handled for the whole life of a process, a trial script with the same series saw the launcher end by SIGINT (Ctrl-C several times) and by SIGHUP, and left all 11 processes of the fleet running each time.

--- a/tests/process/start.test.ts
+++ b/tests/process/start.test.ts
@@ -5,6 +5,7 @@
 import { test } from 'node:test';
 import { expect } from 'earl';
 import { getRepositoryPath } from '../../launch/processes.js';
+import { sleep } from '../support/fleetCalls.js';
 
 /** Returns whether the host and port of a URL accept connections. */
 function isListening(url: string): Promise<boolean> {
@@ -19,10 +20,16 @@
   });
 }
 
-test(
-  'Ctrl-C stops the launcher and all processes it started, without errors',
-  { timeout: 60_000 },
-  async () => {
+const signalSeries: readonly { readonly name: string; readonly signals: NodeJS.Signals[] }[] = [
+  { name: 'Ctrl-C', signals: ['SIGINT'] },
+  { name: 'Ctrl-C several times', signals: ['SIGINT', 'SIGINT', 'SIGTERM', 'SIGINT'] },
+  { name: 'the end of the terminal', signals: ['SIGHUP'] },
+];
+const SIGNAL_INTERVAL_MS = 10;
+
+signalSeries.forEach(({ name, signals }) => {
+  const title = `${name} stops the launcher and all processes it started, without errors`;
+  test(title, { timeout: 60_000 }, async () => {
     const launcher = spawn(
       process.execPath,
       [getRepositoryPath('dist/launch/start.js'), '--ports', 'auto'],
@@ -44,10 +51,13 @@
       }
     }
     // A terminal sends SIGINT to the whole process group.
-    process.kill(-launcher.pid!, 'SIGINT');
+    for (const signal of signals) {
+      process.kill(-launcher.pid!, signal);
+      await sleep(SIGNAL_INTERVAL_MS);
+    }
     expect(await ended).toEqual([0, null]);
     expect(errors).toEqual('');
     const urls = [...ready!.routers, ...ready!.endpoints, ready!.log, ready!.vms];
     expect(await Promise.all(urls.map(isListening))).toEqual(urls.map(() => false));
-  },
-);
+  });
+});
