End the processes of a fleet that cannot start

Operators saw: when a process of the fleet could not start (a port in use, or Ctrl-C reached a process just being started), the launcher ended with an error and left the other processes running.

Cause: startFleet rejected without ending what it had started; the processes are detached, so that Ctrl-C does not reach them.

Fix: startFleet knows every process from its spawn and kills all of them before it rejects. No call is in flight: the fleet has never been ready.

Test, failed before with "condition not met within 5000 ms" (log, vm list, engine and service were still running): "a fleet that cannot start ends what it started".

--- a/launch/fleet.ts
+++ b/launch/fleet.ts
@@ -1,4 +1,5 @@
 /** Starts a small fleet of separate processes on loopback, for `npm start`, process tests and benchmarks. */
+import type { ChildProcess } from 'node:child_process';
 import { mkdtempSync, rmSync, writeFileSync } from 'node:fs';
 import { tmpdir } from 'node:os';
 import { join } from 'node:path';
@@ -48,8 +49,21 @@
 const ZONES = ['lima-costa-a', 'lima-costa-b', 'lima-costa-c'];
 const SAMPLE_SHARED_KEY = 'sample-shared-key-of-the-fleet';
 
-/** Starts a fleet and registers every process in the vm list. */
+/** Starts a fleet and registers every process in the vm list. If a part does not start, ends the others and rejects. */
 export async function startFleet(options: FleetOptions = {}): Promise<Fleet> {
+  const children: ChildProcess[] = [];
+  try {
+    return await startProcesses(options, (child) => children.push(child));
+  } catch (error) {
+    children.forEach((child) => child.kill('SIGKILL'));
+    throw error;
+  }
+}
+
+async function startProcesses(
+  options: FleetOptions,
+  onSpawn: (child: ChildProcess) => void,
+): Promise<Fleet> {
   const {
     routers = 3,
     engines = 4,
@@ -59,7 +73,12 @@
   } = options;
   const folder = mkdtempSync(join(tmpdir(), 'shallotrock-'));
   const start = (kind: string, args: readonly string[] = []) =>
-    startProcess({ script: 'dist/standins/main.js', args: [kind, ...args], isStderrInherited });
+    startProcess({
+      script: 'dist/standins/main.js',
+      args: [kind, ...args],
+      isStderrInherited,
+      onSpawn,
+    });
   const [log, vmList] = await Promise.all([start('log', options.logArgs), start('vms')]);
   const logUrl = `http://127.0.0.1:${log.port}`;
   const vmListUrl = `http://127.0.0.1:${vmList.port}`;
@@ -79,6 +98,7 @@
       script: 'dist/src/daemons/shallotrock.js',
       args,
       isStderrInherited,
+      onSpawn,
     });
     await registerVm(vmListUrl, `router-${routerNumber}`, started.port, routerNumber - 1);
     return started;
--- a/launch/processes.ts
+++ b/launch/processes.ts
@@ -14,6 +14,8 @@
   readonly args: readonly string[];
   /** Whether the process writes to this process's standard error. Default false. */
   readonly isStderrInherited?: boolean;
+  /** Called before the process listens. */
+  readonly onSpawn?: (child: ChildProcess) => void;
 }
 
 const REPOSITORY_URL = new URL('../../', import.meta.url);
@@ -25,12 +27,13 @@
 
 /** Starts a script and waits for its first output line, which is JSON and holds its port. */
 export async function startProcess(options: ProcessOptions): Promise<StartedProcess> {
-  const { script, args, isStderrInherited = false } = options;
+  const { script, args, isStderrInherited = false, onSpawn } = options;
   const child = spawn(process.execPath, [getRepositoryPath(script), ...args], {
     stdio: ['ignore', 'pipe', isStderrInherited ? 'inherit' : 'ignore'],
     // Keeps the terminal's Ctrl-C from the child: the launcher stops routers before the processes they depend on.
     detached: true,
   });
+  onSpawn?.(child);
   const exitCode = new Promise<number | undefined>((resolve) => {
     child.on('exit', (code) => resolve(code ?? undefined));
   });
--- a/tests/process/start.test.ts
+++ b/tests/process/start.test.ts
@@ -1,11 +1,14 @@
 import { spawn } from 'node:child_process';
 import { once } from 'node:events';
-import { connect } from 'node:net';
+import { connect, createServer, type AddressInfo } from 'node:net';
 import { createInterface } from 'node:readline';
 import { test } from 'node:test';
 import { expect } from 'earl';
+import { startFleet } from '../../launch/fleet.js';
 import { getRepositoryPath } from '../../launch/processes.js';
-import { sleep } from '../support/fleetCalls.js';
+import { sleep, waitFor } from '../support/fleetCalls.js';
+
+const END_TIMEOUT_MS = 5_000;
 
 /** Returns whether the host and port of a URL accept connections. */
 function isListening(url: string): Promise<boolean> {
@@ -20,6 +23,16 @@
   });
 }
 
+// Failure: a launcher that could not start all processes leaves the others running.
+test('a fleet that cannot start ends what it started', { timeout: 60_000 }, async () => {
+  const other = createServer().listen(0, '127.0.0.1');
+  await once(other, 'listening');
+  const { port: firstPort } = other.address() as AddressInfo;
+  await expect(startFleet({ routers: 2, engines: 1, services: 1, firstPort })).toBeRejected();
+  other.close();
+  await waitFor(() => !process.getActiveResourcesInfo().includes('ProcessWrap'), END_TIMEOUT_MS);
+});
+
 const signalSeries: readonly { readonly name: string; readonly signals: NodeJS.Signals[] }[] = [
   { name: 'Ctrl-C', signals: ['SIGINT'] },
   { name: 'Ctrl-C several times', signals: ['SIGINT', 'SIGINT', 'SIGTERM', 'SIGINT'] },
