Continue a stream only with a response that belongs to it

A stream broke off after its first events, and the call was sent to a second endpoint. Callers found what that one answered in the middle of their stream (a JSON or HTML text, a head, an event with an error), often followed by an orderly end, or the stream ended as if it were complete.

Cause: any success was split at blank lines and forwarded as a continuation, whatever its status (201, 202, 204, 206), its type and its lines; events of a run that began again were joined to the first one; and a continuation without events that ends with its connection counted as the end of the stream. A response that was given up could still end the caller's stream when its end was emitted.

A continuation now needs the status of the first response and its type, or that of a stream of events. Its first event needs an id, and no id may go back; the last event may be repeated. Lines that hold no field of an event are refused once the stream has begun, at the first endpoint too. Otherwise the attempt is broken: the call is sent once more if the route allows it, or the stream is cut. A close proves an end only after an event. A length or a last chunk still proves it without events: a run that has nothing left to send looks like this.

--- a/src/gateway/forward/eventSplitter.ts
+++ b/src/gateway/forward/eventSplitter.ts
@@ -6,6 +6,8 @@
   readonly bytes: Buffer;
   /** `undefined` if the event has none. */
   readonly id: string | undefined;
+  /** `foreign` if the lines are neither comments nor hold a field of an event. */
+  readonly kind: 'event' | 'comment' | 'foreign';
 }
 
 /** Far above the size of an engine's event, which holds a few tokens. */
@@ -17,6 +19,7 @@
 /** A line that is neither empty nor a comment. */
 const PARTIAL_EVENT = /(?:^|[\r\n])[^:\r\n]/;
 const ID_FIELD = /(?:^|\n)id: ?([^\r\n]*)/;
+const EVENT_FIELD = /(?:^|\n)(?:id|data|event|retry)(?:[:\r\n]|$)/;
 
 /** Buffers bytes until an event is complete. */
 export class EventSplitter {
@@ -31,8 +34,13 @@
     const events: StreamEvent[] = [];
     let start = 0;
     for (let end = findEventEnd(data, searchFrom); end > 0; end = findEventEnd(data, start)) {
-      const event = data.subarray(start, end);
-      events.push({ bytes: event, id: ID_FIELD.exec(event.toString('latin1'))?.[1] });
+      const bytesOfEvent = data.subarray(start, end);
+      const text = bytesOfEvent.toString('latin1');
+      events.push({
+        bytes: bytesOfEvent,
+        id: ID_FIELD.exec(text)?.[1] || undefined,
+        kind: getKind(text),
+      });
       start = end;
     }
     if (start > 0) {
@@ -57,6 +65,13 @@
   }
 }
 
+function getKind(text: string): StreamEvent['kind'] {
+  if (EVENT_FIELD.test(text)) {
+    return 'event';
+  }
+  return PARTIAL_EVENT.test(text) ? 'foreign' : 'comment';
+}
+
 /** Returns the position after the next blank line, or 0 if there is none yet. */
 function findEventEnd(data: Buffer, start: number): number {
   for (
--- a/src/gateway/forward/responseRelay.ts
+++ b/src/gateway/forward/responseRelay.ts
@@ -7,6 +7,7 @@
 import type { GatewayCall } from '../call.js';
 import { isCloseDelimited } from './endpointCall.js';
 import { EventSplitter, type StreamEvent } from './eventSplitter.js';
+import { classifyEvent, findHeadMismatch, type StreamHead } from './streamContinuation.js';
 
 /** How a relayed stream ended. */
 export type RelayResult =
@@ -101,6 +102,9 @@
 
   private sentEventCount = 0;
 
+  /** The head of the first response that began the stream. */
+  private head: StreamHead | undefined;
+
   constructor(private readonly options: StreamRelayOptions) {}
 
   /** Returns whether events were sent to the caller. */
@@ -119,33 +123,76 @@
     metadata: ResponseMetadata,
   ): Promise<RelayResult> {
     const splitter = new EventSplitter();
+    const head = { status: metadata.status, contentType: response.headers['content-type'] };
+    const mismatch = this.head && findHeadMismatch(this.head, head);
+    let isResuming = this.hasSentEvents();
+    let hasEvents = false;
+    let isGivenUp = false;
     return new Promise((resolve) => {
+      // Node may still emit data and the end of a response that was destroyed.
+      const giveUp = (detail: string) => {
+        isGivenUp = true;
+        resolve({ kind: 'broken', detail });
+        response.destroy();
+      };
       response.on('data', (chunk: Buffer) => {
-        const events = splitter.push(chunk).filter((event) => this.isNew(event));
-        if (splitter.isOverlong()) {
-          resolve({ kind: 'broken', detail: 'event exceeds the size limit' });
-          response.destroy();
-        }
-        if (events.length === 0) {
+        if (isGivenUp) {
           return;
         }
-        this.options.onEvents();
-        this.forward(response, metadata, events);
+        const { events, isForeign } = this.selectEvents(splitter.push(chunk), isResuming);
+        if (events.length > 0) {
+          this.head ??= head;
+          this.options.onEvents();
+          this.forward(response, metadata, events);
+          hasEvents ||= events.some(({ kind }) => kind !== 'comment');
+          isResuming &&= !hasEvents;
+        }
+        if (isForeign) {
+          giveUp('bytes that are no event of the stream');
+        } else if (splitter.isOverlong()) {
+          giveUp('event exceeds the size limit');
+        }
       });
       response.on('end', () => {
+        if (isGivenUp) {
+          return;
+        }
         const isWhole = response.complete && isErrorFree();
-        const detail = isWhole ? this.findTruncation(response, splitter) : 'response truncated';
+        const detail = isWhole
+          ? findTruncation(response, splitter, hasEvents)
+          : 'response truncated';
         resolve(detail === undefined ? this.finish(metadata) : { kind: 'broken', detail });
       });
       response.on('error', (error) => resolve({ kind: 'broken', detail: error.message }));
       response.on('close', () => resolve({ kind: 'broken', detail: 'response truncated' }));
+      if (mismatch !== undefined) {
+        giveUp(mismatch);
+      }
     });
   }
 
-  /** Returns whether the caller has not received the event from a previous endpoint. */
-  private isNew({ id }: StreamEvent): boolean {
-    const last = Number(this.lastEventId);
-    return id === undefined || Number.isNaN(last) || Number.isNaN(Number(id)) || Number(id) > last;
+  /** Returns the events that the caller has not received, up to the first that can't be a part of its stream. */
+  private selectEvents(
+    events: readonly StreamEvent[],
+    isResuming: boolean,
+  ): { readonly events: readonly StreamEvent[]; readonly isForeign: boolean } {
+    const position = {
+      hasSentEvents: this.hasSentEvents(),
+      lastEventId: this.lastEventId,
+      isResuming,
+    };
+    const selected: StreamEvent[] = [];
+    const isForeign = events.some((event) => {
+      const kind = classifyEvent(event, position);
+      if (kind === 'new') {
+        selected.push(event);
+        position.hasSentEvents = true;
+        position.lastEventId = event.id ?? position.lastEventId;
+        position.isResuming &&= event.kind === 'comment';
+      }
+      return kind === 'foreign';
+    });
+    return { events: selected, isForeign };
   }
 
   private forward(
@@ -166,16 +213,6 @@
     }
   }
 
-  /** Returns why a response is truncated although its framing is whole, or `undefined` if it is not. */
-  private findTruncation(response: IncomingMessage, splitter: EventSplitter): string | undefined {
-    if (splitter.hasPartialEvent()) {
-      return 'stream ended inside an event';
-    }
-    return isCloseDelimited(response) && !this.hasSentEvents()
-      ? 'stream ended before its first event'
-      : undefined;
-  }
-
   private finish(metadata: ResponseMetadata): RelayResult {
     const { call } = this.options;
     if (!call.caller.isHeadSent()) {
@@ -185,3 +222,18 @@
     return { kind: 'complete' };
   }
 }
+
+/**
+ * Returns why a response is truncated although its framing is whole, or `undefined` if it is not. A length or a last
+ * chunk states that nothing follows, also if the run had nothing left to send; a close states it only after an event.
+ */
+function findTruncation(
+  response: IncomingMessage,
+  splitter: EventSplitter,
+  hasEvents: boolean,
+): string | undefined {
+  if (splitter.hasPartialEvent()) {
+    return 'stream ended inside an event';
+  }
+  return isCloseDelimited(response) && !hasEvents ? 'stream ended before an event' : undefined;
+}
