Read pending calls before a stopping gateway closes connections

Callers whose calls had arrived got no answer: their connections were closed.

The cause: after a stall of the event loop its timers run before it reads, so the stop closed connections as idle that held unread calls, both when it began to refuse calls and when it closed.

The stop now lets the event loop read once before either. The calls are refused then, and count as open until that is sent.

Both new tests failed before the change: not ok 1 - calls that have arrived unread when a stopping gateway closes idle connections are refused not ok 2 - calls that have arrived unread when a stopping gateway closes are refused error: 'The value false is not equal to true, but it was expected to be equal.'

--- a/src/gateway/gatewayServer.ts
+++ b/src/gateway/gatewayServer.ts
@@ -5,7 +5,7 @@
 import type { Metrics } from '../core/metrics.js';
 import type { TimerService } from '../core/timers.js';
 import { createRefusal, type Refusal } from '../core/codes.js';
-import { createDeferred, getErrorMessage } from '../core/utilities.js';
+import { createDeferred, getErrorMessage, readPendingInput } from '../core/utilities.js';
 import { PEER_PATH } from '../peers/peerRpc.js';
 import { handlePeerMessage, type PeerMessageHandler } from '../server/handlePeerMessage.js';
 import { ConnectionQueue } from '../server/connectionQueue.js';
@@ -139,15 +139,18 @@
    * Refuses new calls and closes idle connections; resolves when no call is in flight. Keeps listening, because closing
    * the listener would reset connections in the backlog.
    */
-  drain(): Promise<void> {
+  async drain(): Promise<void> {
     this.startDraining();
+    // After an event loop stall, connections that seem idle may hold calls.
+    await readPendingInput();
     this.connections.closeIdle();
     this.checkDrained();
-    return this.drained.promise;
+    await this.drained.promise;
   }
 
   /** Stops listening, waits for refusals in progress, and closes all connections. */
   async close(): Promise<void> {
+    await readPendingInput();
     this.callerListener.close();
     this.callerListener.closeIdleConnections();
     this.drained = createDeferred<void>();
