--- a/src/gateway/gatewayServer.ts
+++ b/src/gateway/gatewayServer.ts
@@ -1,6 +1,6 @@
 /** The HTTP listeners of a gateway: for callers, for readiness and metrics, and for peers. */
 import { createServer, type IncomingMessage, type Server, type ServerResponse } from 'node:http';
-import type { AddressInfo, Socket } from 'node:net';
+import type { AddressInfo } from 'node:net';
 import type { Logger } from '../core/logging.js';
 import type { Metrics } from '../core/metrics.js';
 import type { TimerService } from '../core/timers.js';
@@ -65,8 +65,6 @@
 
   private readonly peerListener: Server;
 
-  private readonly sockets = new Set<Socket>();
-
   private readonly openResponses = new Set<ServerResponse>();
 
   private readonly connections = new ConnectionQueue();
@@ -93,10 +91,6 @@
     );
     this.applyLimits(LIMITS_BEFORE_CONFIG);
     this.connections.watch(this.callerListener);
-    this.callerListener.on('connection', (socket: Socket) => {
-      this.sockets.add(socket);
-      socket.on('close', () => this.sockets.delete(socket));
-    });
   }
 
   /** Starts listening; resolves with the port for callers. */
@@ -156,7 +150,7 @@
     this.drained = createDeferred<void>();
     this.checkDrained();
     await this.options.timers.isFulfilledWithin(this.drained.promise, CLOSE_TIMEOUT_MS);
-    this.sockets.forEach((socket) => socket.destroy());
+    this.connections.closeAll();
     [this.callerListener, this.readinessListener, this.peerListener].forEach((server) => {
       server.close();
       server.closeAllConnections();
--- a/src/server/connectionQueue.ts
+++ b/src/server/connectionQueue.ts
@@ -68,6 +68,11 @@
     [...this.sockets].filter((socket) => this.isIdle(socket)).forEach((socket) => socket.destroy());
   }
 
+  /** Closes the watched connections. */
+  closeAll(): void {
+    this.sockets.forEach((socket) => socket.destroy());
+  }
+
   private isIdle(socket: Socket): boolean {
     const { openRequests, idleBytesRead } = this.states.get(socket) ?? NEW_CONNECTION;
     return openRequests === 0 && socket.bytesRead === idleBytesRead;
