Play the short soak of stops with the platform's grace period

The test failed in 1 of 2 runs with a grace period of 5 s: a caller that had sent a call 2,490 ms after SIGTERM, whose endpoint was done at 2,528 ms, read nothing for up to 3 s, as some callers of the soak do. It began to read when the process had to have ended (4,883 ms), with 3,866,961 bytes received. With 5 s the check asks for more than the order of times allows; no run shows that the product could have done better, or that the pause alone explains it.

--- a/tests/properties/stops.test.ts
+++ b/tests/properties/stops.test.ts
@@ -3,8 +3,8 @@
 import { runStopSoak } from '../support/stopSoak.js';
 
 const TIMEOUT = { timeout: 60_000 };
-/** A short grace period saves time; `npm run fuzz:stops` has the platform's. */
-const GRACE_S = 5;
+/** The platform's: callers that read late do so for up to 3 s, which a shorter period need not allow. */
+const GRACE_S = 8;
 const SEED = 7;
 
 test(
