Reset the TCP connection of a response that is cut over TLS

A caller of a router with TLS whose response has no chunks (HTTP/1.0) received the first part of a stream that broke off, and then an orderly close: for it the stream was complete.

The cause: Node's resetAndDestroy throws ERR_INVALID_HANDLE_TYPE on a decrypting socket. The exception left the code that ends the call and was caught by the handler of unexpected errors, which destroys the response, and that closes the connection with a FIN.

The TCP connection that carries the decrypting socket is now reset; Node has no public name for it. Its close closes the decrypting socket and the response.

--- a/src/server/cutResponse.ts
+++ b/src/server/cutResponse.ts
@@ -1,5 +1,6 @@
 /** Cuts a response that can't be completed. */
 import type { ServerResponse } from 'node:http';
+import type { Socket } from 'node:net';
 
 /**
  * Closes the connection of a response so that the caller can't mistake what it received for a complete response.
@@ -11,8 +12,14 @@
   const { socket } = response;
   if (socket && response.headersSent && !response.chunkedEncoding) {
     // The response may end with its connection, so an orderly close would complete it.
-    socket.resetAndDestroy();
+    getConnection(socket).resetAndDestroy();
   } else {
     response.destroy();
   }
 }
+
+/** Returns the TCP connection of a socket, which may be one that decrypts. Node resets only the former. */
+function getConnection(socket: Socket): Socket {
+  const { _parent: connection } = socket as Socket & { readonly _parent?: Socket | null };
+  return connection ?? socket;
+}
