Close a cut connection whose end has been sent instead of resetting it

A process that had cut a response without chunks of a caller that had just ended its side of the connection did not end after its stop, and used a whole core until it was killed.

The cause: Node ends its side when the caller ends. A reset of a connection whose end is being sent fails with EINVAL, and Node then neither closes the connection nor keeps a reference to it.

Evidence: a script that does this printed its `exit` event after 0.4 s and was still there after 4 s, with 3.6 s of processor time; with the connection closed instead it ended after 0.6 s. That a whole gateway got there was not seen: it takes a stream that breaks off while the end of the connection is being sent.

Such a connection is now closed. Its caller has been sent an end already, so a reset can't be had.

Without the fix the test failed: 'The value [null, "SIGKILL"] is not equal to [0, null]'.

--- a/src/server/cutResponse.ts
+++ b/src/server/cutResponse.ts
@@ -10,7 +10,9 @@
  */
 export function cutResponse(response: ServerResponse): void {
   const { socket } = response;
-  if (socket && response.headersSent && !response.chunkedEncoding) {
+  const isCloseDelimited = response.headersSent && !response.chunkedEncoding;
+  // Node fails to reset a connection whose end has been sent, and leaves it open.
+  if (socket && isCloseDelimited && !socket.writableEnded) {
     // The response may end with its connection, so an orderly close would complete it.
     getConnection(socket).resetAndDestroy();
   } else {
--- a/tests/unit/cutResponse.test.ts
+++ b/tests/unit/cutResponse.test.ts
@@ -1,4 +1,5 @@
-/** Failure: a response without chunks that is cut over TLS throws, or ends as if it were complete. */
+/** Failure: a response without chunks that is cut ends as if it were complete over TLS, or leaves its connection open. */
+import { spawn } from 'node:child_process';
 import { once } from 'node:events';
 import { createServer, type Server as HttpServer, type ServerResponse } from 'node:http';
 import { createServer as createTlsServer } from 'node:https';
@@ -6,6 +7,7 @@
 import { test, type TestContext } from 'node:test';
 import { connect as connectTls } from 'node:tls';
 import { expect } from 'earl';
+import { getRepositoryPath } from '../../launch/processes.js';
 import { cutResponse } from '../../src/server/cutResponse.js';
 
 const PSK_OPTIONS = { ciphers: 'PSK-AES128-GCM-SHA256', maxVersion: 'TLSv1.2' as const };
@@ -74,3 +76,17 @@
     });
   expect(await cutAfterPart(context, server, open)).toEqual(RESET);
 });
+
+test(
+  'a process ends after it has cut a response of a caller that ended its side',
+  { timeout: 30_000 },
+  async (context) => {
+    const script = getRepositoryPath('dist/tests/support/cutEndedConnection.js');
+    const child = spawn(process.execPath, [script], { stdio: 'ignore' });
+    const ended = once(child, 'exit');
+    // In the failure, the process ends only if it is killed.
+    const killer = setTimeout(() => child.kill('SIGKILL'), 10_000);
+    context.after(() => clearTimeout(killer));
+    expect(await ended).toEqual([0, null]);
+  },
+);
