Quote no engine in a chat stream that has begun

A chat stream of the older router broke off after its first events, and the call was sent to a second engine. When that one refused it, or sent an event with an error, callers found its text in the middle of their stream: up to 500 characters of the body of a 4xx (JSON, HTML, a head, `data: [DONE]`), or the whole error object, as the message of the error event that cuts the stream.

Cause: the detail of the refusal was made for callers whose response has not begun, where the engine's reason belongs; the end of a stream that has begun writes the same detail into the stream.

Once the stream has begun, the detail names the status of a 4xx, whose body is no longer read (the caller does not wait for it either), or says that the engine sent an error. Before the first event the engine's reason is sent as before.

The tests run a router on virtual time with fake engines. No case ended as if it were complete, before or after. The test of a stream that goes on passed before and after.

--- a/src/relay/chatCall.ts
+++ b/src/relay/chatCall.ts
@@ -30,10 +30,14 @@
   };
 }
 
-/** Handles an error status from an engine; returns `undefined` for a success. */
+/**
+ * Handles an error status from an engine; returns `undefined` for a success. The body of a refusal is quoted only if the
+ * caller's response has not started.
+ */
 export async function checkErrorStatus(
   attempt: Attempt,
   response: EndpointResponse,
+  isStreamStarted = false,
 ): Promise<AttemptResult | undefined> {
   if (response.status < 400) {
     return undefined;
@@ -44,6 +48,12 @@
     const detail = `the endpoint answered ${response.status}`;
     return createFailedResult('serverError', true, 'endpointFailed', detail);
   }
+  if (isStreamStarted) {
+    response.abort();
+    attempt.slot.release({ kind: 'neutral' });
+    const detail = `the engine refused the request with ${response.status}`;
+    return { kind: 'refused', refusal: createRefusal('answerCut', { detail }) };
+  }
   const body = await readResponseBody(response);
   if (body.err) {
     return failAttempt(attempt, body.val);
--- a/src/relay/chatStream.ts
+++ b/src/relay/chatStream.ts
@@ -122,7 +122,7 @@
     }
     const chunk = tryParse(data);
     if (!chunk || chunk.error !== undefined) {
-      return { kind: 'error', detail: chunk ? JSON.stringify(chunk.error) : 'not valid JSON' };
+      return { kind: 'error', detail: chunk ? this.describeError(chunk) : 'not valid JSON' };
     }
     if (!this.hasAttemptResponseId(chunk)) {
       return { kind: 'crossed' };
@@ -162,6 +162,11 @@
     return this.deliveredText;
   }
 
+  /** Quotes the engine's error only if no event was delivered: its text must not appear in a stream. */
+  private describeError({ error }: ChatChunk): string {
+    return this.hasStarted ? 'the engine sent an error' : JSON.stringify(error);
+  }
+
   private handleChoice(chunk: ChatChunk): ChatAction {
     const [choice] = chunk.choices ?? [];
     if (!choice) {
--- a/src/relay/streamedChat.ts
+++ b/src/relay/streamedChat.ts
@@ -69,7 +69,7 @@
     const endpointResponse = sent.val;
     const finalResult =
       checkResponseHead(attempt, endpointResponse, call) ??
-      (await checkErrorStatus(attempt, endpointResponse));
+      (await checkErrorStatus(attempt, endpointResponse, this.stream.isStarted()));
     return finalResult ?? this.relay(attempt, endpointResponse, startedAt);
   }
 
--- a/tests/support/fakeEndpoints.ts
+++ b/tests/support/fakeEndpoints.ts
@@ -20,6 +20,12 @@
   silent?: boolean;
   leaving?: boolean;
   rejecting?: boolean;
+  /** Answers every call with this response. */
+  response?: {
+    readonly status: number;
+    readonly headers?: Readonly<Record<string, string>>;
+    readonly body: string;
+  };
 }
 
 const TOKEN_MS = 20;
@@ -94,6 +100,10 @@
     if (faults.rejecting) {
       return Ok(createResponse(503, echo, []));
     }
+    if (faults.response) {
+      const { status, headers = echo, body } = faults.response;
+      return Ok(createResponse(status, headers, [body]));
+    }
     return call.url.includes('/v1/') ? this.chat(endpoint, call, faults) : this.order(call, faults);
   }
 
