--- a/tests/process/signals.test.ts
+++ b/tests/process/signals.test.ts
@@ -1,14 +1,22 @@
 /** Failure: a second signal during a planned stop, or a signal during the start, cuts calls that endpoints run. */
-import { test } from 'node:test';
-import { connect } from 'node:net';
+import { once } from 'node:events';
+import { connect, createServer } from 'node:net';
+import { test, type TestContext } from 'node:test';
 import { expect } from 'earl';
-import { callPaths, SignalledGateway, GRACE_S } from '../support/signalledGateway.js';
 import { sleep, waitFor } from '../support/fleetCalls.js';
+import type { GatewayProcess } from '../support/gatewayProcess.js';
 import { KeptConnections } from '../support/keptConnections.js';
+import { createLoneGateway, type LoneGateway } from '../support/loneGateway.js';
+import type { SoakEndpoints } from '../support/soakEndpoints.js';
 
 const TIMEOUT = { timeout: 60_000 };
 const CALLERS = 16;
 const TRAFFIC_MS = 400;
+const HOST = '127.0.0.1';
+/** The grace period of the gateways. */
+const GRACE_S = 3;
+/** Calls that may run at most once: one with a buffered response, one with a stream. */
+const CALL_PATHS = ['/b/x?ms=90&bytes=800', '/s/x?ms=500'];
 
 interface TimedSignal {
   readonly atMs: number;
@@ -71,16 +79,16 @@
 
 stopSeries.forEach(({ name, signals }) => {
   test(`calls in flight get whole answers after ${name}`, TIMEOUT, async (context) => {
-    const gateway = await SignalledGateway.spawn(context);
-    await gateway.waitUntilReady();
-    const callers = new KeptConnections(gateway.ports[0]!, Object.values(callPaths), CALLERS);
+    const { gateway, endpoints, ports } = await spawnGateway(context);
+    await waitFor(() => gateway.isReady());
+    const callers = new KeptConnections(ports[0]!, CALL_PATHS, CALLERS);
     await sleep(TRAFFIC_MS);
     const startedAt = performance.now();
     await sendSignals(gateway, signals);
     const end = await gateway.ended;
     const durationMs = performance.now() - startedAt;
     await callers.stop();
-    expect(getCutRuns(gateway, callers)).toEqual([]);
+    expect(getCutRuns(endpoints, callers)).toEqual([]);
     expect(end).toEqual({ code: 0, signal: null });
     expect(durationMs).toBeLessThan(GRACE_S * 1_000 + getStopTime(signals));
     expect(callers.answers['200'] ?? 0).toBeGreaterThan(CALLERS);
@@ -90,18 +98,22 @@
   });
 });
 
+async function spawnGateway(context: TestContext, script?: string): Promise<LoneGateway> {
+  const lone = await createLoneGateway(context, { host: HOST, graceS: GRACE_S, script });
+  lone.gateway.spawn();
+  return lone;
+}
+
 function isStopLine({ effect }: Record<string, unknown>): boolean {
   return effect === 'stopping';
 }
 
 /** Returns the calls that ran and whose callers got no whole answer. */
-function getCutRuns(gateway: SignalledGateway, callers: KeptConnections): string[] {
-  return callers.cutCalls
-    .filter(({ id }) => gateway.runs.has(id))
-    .map(({ id, path }) => `${id} ${path}`);
+function getCutRuns({ runs }: SoakEndpoints, callers: KeptConnections): string[] {
+  return callers.cutCalls.filter(({ id }) => runs.has(id)).map(({ id, path }) => `${id} ${path}`);
 }
 
-async function sendSignals(gateway: SignalledGateway, signals: readonly TimedSignal[]) {
+async function sendSignals(gateway: GatewayProcess, signals: readonly TimedSignal[]) {
   let sentMs = 0;
   for (const { atMs, signal } of signals) {
     if (atMs > sentMs) {
@@ -119,29 +131,30 @@
 
 (['SIGTERM', 'SIGINT', 'SIGHUP', 'SIGUSR2'] as const).forEach((signal) => {
   test(`${signal} during the start does not cut accepted calls`, TIMEOUT, async (context) => {
-    const gateway = await SignalledGateway.spawn(context, {
-      script: 'dist/tests/support/slowStartGateway.js',
-    });
-    const callers = await callOnceAccepted(gateway);
+    const { gateway, endpoints, ports } = await spawnGateway(
+      context,
+      'dist/tests/support/slowStartGateway.js',
+    );
+    const callers = await callOnceAccepted(ports[0]!);
     gateway.signal(signal);
     await sleep(TRAFFIC_MS);
     gateway.signal('SIGTERM');
     expect(await gateway.ended).toEqual({ code: 0, signal: null });
     await callers.stop();
-    expect(getCutRuns(gateway, callers)).toEqual([]);
+    expect(getCutRuns(endpoints, callers)).toEqual([]);
     expect(Object.keys(callers.answers).length).toBeGreaterThan(0);
   });
 });
 
 /** Starts callers as soon as the listener for callers accepts. */
-async function callOnceAccepted(gateway: SignalledGateway): Promise<KeptConnections> {
-  await waitFor(() => isAccepting(gateway.ports[0]!), 10_000);
-  return new KeptConnections(gateway.ports[0]!, Object.values(callPaths), 2);
+async function callOnceAccepted(port: number): Promise<KeptConnections> {
+  await waitFor(() => isAccepting(port), 10_000);
+  return new KeptConnections(port, CALL_PATHS, 2);
 }
 
 function isAccepting(port: number): Promise<boolean> {
   return new Promise((resolve) => {
-    const socket = connect(port, '127.0.0.1');
+    const socket = connect(port, HOST);
     socket.on('connect', () => {
       socket.destroy();
       resolve(true);
@@ -151,11 +164,18 @@
 }
 
 test('SIGTERM ends a gateway that could not start and its answers', TIMEOUT, async (context) => {
-  const gateway = await SignalledGateway.spawn(context, { isPeerPortTaken: true });
-  const callers = await callOnceAccepted(gateway);
+  const { gateway, endpoints, ports } = await createLoneGateway(context, {
+    host: HOST,
+    graceS: GRACE_S,
+  });
+  const other = createServer().listen(ports[2], HOST);
+  await once(other, 'listening');
+  context.after(() => other.close());
+  gateway.spawn();
+  const callers = await callOnceAccepted(ports[0]!);
   gateway.signal('SIGTERM');
   expect(await gateway.ended).toEqual({ code: 3, signal: null });
   await callers.stop();
   expect(callers.answers['503']!).toBeGreaterThan(0);
-  expect(gateway.runs.size).toEqual(0);
+  expect(endpoints.runs.size).toEqual(0);
 });
--- a/tests/support/gatewayProcess.ts
+++ b/tests/support/gatewayProcess.ts
@@ -1,6 +1,6 @@
 /** Gateways as processes of the `gateway` command, with settings as the platform writes them. */
 import { spawn, type ChildProcess } from 'node:child_process';
-import { closeSync, openSync, writeFileSync } from 'node:fs';
+import { closeSync, openSync, readFileSync, writeFileSync } from 'node:fs';
 import { join } from 'node:path';
 import { getRepositoryPath } from '../../launch/processes.js';
 import { READINESS_PATH, SETTINGS_FILE_VARIABLE } from '../../platform/names.js';
@@ -20,6 +20,8 @@
   readonly graceS: number;
   /** Whether the reader of the log has left: writes to it fail. Default false. */
   readonly isLogClosed?: boolean;
+  /** Default: the executable. */
+  readonly script?: string;
 }
 
 /** How a process ended. */
@@ -52,14 +54,22 @@
 
   /** Starts the process; resolves when it is ready. */
   async start(): Promise<void> {
-    const { isLogClosed = false } = this.options;
+    this.spawn();
+    while (this.isRunning && !(await this.isReady())) {
+      await sleep(READY_POLL_MS);
+    }
+  }
+
+  /** Starts the process without waiting for it. */
+  spawn(): void {
+    const { isLogClosed = false, script = 'dist/src/daemons/shallotrock.js' } = this.options;
     const log = openSync(this.logFile, 'a');
     const child = spawn(
       process.execPath,
       [
         '--max-old-space-size=160',
         '--max-http-header-size=65536',
-        getRepositoryPath('dist/src/daemons/shallotrock.js'),
+        getRepositoryPath(script),
         'gateway',
       ],
       {
@@ -77,9 +87,6 @@
         resolve({ code, signal });
       });
     });
-    while (this.isRunning && !(await this.isReady())) {
-      await sleep(READY_POLL_MS);
-    }
   }
 
   /** Sends a signal to the process if it is running. */
@@ -100,6 +107,14 @@
       return false;
     }
   }
+
+  /** Returns the logged lines with a message. */
+  getLogLines(message: string): Record<string, unknown>[] {
+    return readFileSync(this.logFile, 'utf8')
+      .split('\n')
+      .filter((line) => line.startsWith('{') && line.includes(`"message":"${message}"`))
+      .map((line) => JSON.parse(line));
+  }
 }
 
 function createSettings(options: GatewayProcessOptions): string {
--- a/tests/support/keptConnections.ts
+++ b/tests/support/keptConnections.ts
@@ -1,13 +1,13 @@
 /** Callers that keep their connections: each sends its next call once it has the whole answer to the last one. */
-import { connect } from 'node:net';
+import { headerNames } from '../../platform/names.js';
 import { sleep } from './fleetCalls.js';
-import { HOST } from './gatewayFleet.js';
+import { KeptConnection } from './keptConnection.js';
+import { SOAK_HOST } from './soakConfig.js';
 
 /** A call whose connection ended without a whole answer. */
 export interface CutCall {
   readonly id: string;
   readonly path: string;
-  readonly received: string;
 }
 
 const RECONNECT_MS = 20;
@@ -45,60 +45,34 @@
   }
 
   /** Sends calls on one connection; resolves when it has ended. */
-  private useConnection(): Promise<void> {
-    return new Promise((resolve) => {
-      const socket = connect({ port: this.port, host: '127.0.0.1', noDelay: true });
-      let call: CutCall | undefined;
-      const send = () => {
-        this.callCount += 1;
-        const path = this.paths[this.callCount % this.paths.length]!;
-        call = { id: `call-${this.callCount}`, path, received: '' };
-        const head = [
-          `POST ${path} HTTP/1.1`,
-          `host: ${HOST}`,
-          `shallotrock-attempt-id: ${call.id}`,
-          'shallotrock-deadline-ms: 3000',
-          'content-length: 4',
-        ];
-        socket.write(`${head.join('\r\n')}\r\n\r\nbody`);
-      };
-      socket.on('connect', send);
-      socket.on('data', (bytes: Buffer) => {
-        if (!call) {
-          return;
-        }
-        call = { ...call, received: call.received + bytes.toString('latin1') };
-        if (!isWholeAnswer(call.received)) {
-          return;
-        }
-        const status = call.received.slice(9, 12);
-        this.answers[status] = (this.answers[status] ?? 0) + 1;
-        const isClosing = /\r\nconnection: close/i.test(call.received);
-        call = undefined;
-        if (isClosing || !this.isRunning) {
-          socket.end();
-        } else {
-          send();
-        }
-      });
-      socket.on('error', () => {});
-      socket.on('close', () => {
-        if (call) {
-          this.cutCalls.push(call);
-        }
-        resolve();
-      });
-    });
+  private async useConnection(): Promise<void> {
+    const connection = await KeptConnection.connect('127.0.0.1', this.port).catch(() => undefined);
+    if (!connection) {
+      return;
+    }
+    do {
+      await this.call(connection);
+    } while (this.isRunning && !connection.isClosed);
+    connection.close();
   }
-}
 
-function isWholeAnswer(received: string): boolean {
-  const headEnd = received.indexOf('\r\n\r\n');
-  if (headEnd < 0) {
-    return false;
+  private async call(connection: KeptConnection): Promise<void> {
+    this.callCount += 1;
+    const id = `call-${this.callCount}`;
+    const path = this.paths[this.callCount % this.paths.length]!;
+    const head = [
+      `POST ${path} HTTP/1.1`,
+      `host: ${SOAK_HOST}`,
+      `${headerNames.callId}: ${id}`,
+      `${headerNames.deadlineMs}: 3000`,
+      'content-length: 4',
+    ];
+    const pieces = [`${head.join('\r\n')}\r\n\r\nbody`];
+    const { status } = await connection.send({ pieces, pieceIntervalMs: 0, readPauseMs: 0 });
+    if (status === undefined) {
+      this.cutCalls.push({ id, path });
+    } else {
+      this.answers[status] = (this.answers[status] ?? 0) + 1;
+    }
   }
-  const length = /content-length: (\d+)/i.exec(received.slice(0, headEnd))?.[1];
-  return length === undefined
-    ? received.endsWith('0\r\n\r\n')
-    : received.length >= headEnd + 4 + Number(length);
 }
