Read pending requests before a draining router closes connections

Callers of the older router whose requests had arrived when its drain began got no answer: their connections were closed. The requests were not run.

The drain now lets the event loop read once before it closes idle connections; the requests are refused then.

What remains: the router doesn't count the refusals of a drain as open requests, so its close doesn't wait for them.

--- a/src/server/callerServer.ts
+++ b/src/server/callerServer.ts
@@ -10,7 +10,7 @@
 import type { Metrics } from '../core/metrics.js';
 import type { TimerService } from '../core/timers.js';
 import { codes, createRefusal, type Refusal } from '../core/codes.js';
-import { createDeferred, getErrorMessage } from '../core/utilities.js';
+import { createDeferred, getErrorMessage, readPendingInput } from '../core/utilities.js';
 import { PEER_PATH } from '../peers/peerRpc.js';
 import { handlePeerMessage, type PeerMessageHandler } from './handlePeerMessage.js';
 import { ConnectionQueue } from './connectionQueue.js';
@@ -85,11 +85,13 @@
   }
 
   /** Refuses new requests; resolves when no request is in flight. */
-  drain(): Promise<void> {
+  async drain(): Promise<void> {
     this.isDraining = true;
+    // After an event loop stall, connections that seem idle may hold requests.
+    await readPendingInput();
     this.connections.closeIdle();
     this.resolveIfDrained();
-    return this.drained.promise;
+    await this.drained.promise;
   }
 
   /** Closes every connection. */
