Share the TLS server and caller of three unit tests

connectionQueue, cutResponse and unreadableRequest each had the same server and caller with a pre-shared key. tests/support/tlsPair.ts serves all three.

--- a/tests/unit/connectionQueue.test.ts
+++ b/tests/unit/connectionQueue.test.ts
@@ -5,12 +5,12 @@
   type Server as HttpServer,
   type ServerResponse,
 } from 'node:http';
-import { createServer as createTlsServer } from 'node:https';
 import { connect, type AddressInfo, type Socket } from 'node:net';
 import { test, type TestContext } from 'node:test';
-import { connect as connectTls, Server as TlsServer } from 'node:tls';
+import { Server as TlsServer } from 'node:tls';
 import { expect } from 'earl';
 import { ConnectionQueue } from '../../src/server/connectionQueue.js';
+import { connectToTlsServer, createTlsServer } from '../support/tlsPair.js';
 
 const PIPELINED = ['/a', '/b', '/c']
   .map((path) => `GET ${path} HTTP/1.1\r\nhost: yard.example\r\n\r\n`)
@@ -81,12 +81,6 @@
   expect(received.endsWith('/a')).toEqual(true);
 });
 
-const PSK_OPTIONS = {
-  ciphers: 'PSK-AES128-GCM-SHA256',
-  maxVersion: 'TLSv1.2' as const,
-};
-const PSK = Buffer.alloc(16, 'k');
-
 /** Opens connections to a server in different states and closes the idle ones; returns which were closed. */
 async function closeIdleConnections(
   context: TestContext,
@@ -144,14 +138,6 @@
 });
 
 test('of open TLS connections those without an open request or a part of one are closed', async (context) => {
-  const server = createTlsServer({ ...PSK_OPTIONS, pskCallback: () => PSK });
-  const open = (port: number) =>
-    connectTls({
-      ...PSK_OPTIONS,
-      port,
-      host: '127.0.0.1',
-      checkServerIdentity: () => undefined,
-      pskCallback: () => ({ psk: PSK, identity: 'caller' }),
-    }).pause();
-  expect(await closeIdleConnections(context, server, open)).toEqual(CLOSED);
+  const open = (port: number) => connectToTlsServer(port).pause();
+  expect(await closeIdleConnections(context, createTlsServer(), open)).toEqual(CLOSED);
 });
--- a/tests/unit/cutResponse.test.ts
+++ b/tests/unit/cutResponse.test.ts
@@ -2,16 +2,13 @@
 import { spawn } from 'node:child_process';
 import { once } from 'node:events';
 import { createServer, type Server as HttpServer, type ServerResponse } from 'node:http';
-import { createServer as createTlsServer } from 'node:https';
 import { connect, type AddressInfo, type Socket } from 'node:net';
 import { test, type TestContext } from 'node:test';
-import { connect as connectTls } from 'node:tls';
 import { expect } from 'earl';
 import { getRepositoryPath } from '../../launch/processes.js';
 import { cutResponse } from '../../src/server/cutResponse.js';
+import { connectToTlsServer, createTlsServer } from '../support/tlsPair.js';
 
-const PSK_OPTIONS = { ciphers: 'PSK-AES128-GCM-SHA256', maxVersion: 'TLSv1.2' as const };
-const PSK = Buffer.alloc(16, 'k');
 const PART = 'data: t1\n\n';
 
 /** Calls a server that cuts each response after a part of it; returns what the caller saw at the end. */
@@ -65,16 +62,7 @@
 });
 
 test('a caller without chunks sees a reset when its response over TLS is cut', async (context) => {
-  const server = createTlsServer({ ...PSK_OPTIONS, pskCallback: () => PSK });
-  const open = (port: number) =>
-    connectTls({
-      ...PSK_OPTIONS,
-      port,
-      host: '127.0.0.1',
-      pskCallback: () => ({ psk: PSK, identity: 'caller' }),
-      checkServerIdentity: () => undefined,
-    });
-  expect(await cutAfterPart(context, server, open)).toEqual(RESET);
+  expect(await cutAfterPart(context, createTlsServer(), connectToTlsServer)).toEqual(RESET);
 });
 
 test(
--- a/tests/unit/unreadableRequest.test.ts
+++ b/tests/unit/unreadableRequest.test.ts
@@ -7,12 +7,11 @@
   type ServerOptions,
   type ServerResponse,
 } from 'node:http';
-import { createServer as createTlsServer } from 'node:https';
 import { connect, type AddressInfo, type Socket } from 'node:net';
 import { test, type TestContext } from 'node:test';
-import { connect as connectTls } from 'node:tls';
 import { expect } from 'earl';
 import { ConnectionQueue } from '../../src/server/connectionQueue.js';
+import { connectToTlsServer, createTlsServer } from '../support/tlsPair.js';
 
 const TIMEOUT = { timeout: 20_000 };
 const OPTIONS: ServerOptions = {
@@ -22,8 +21,6 @@
   connectionsCheckingInterval: 50,
 };
 const RUN_MS = 1_000; // many checks of the times of heads
-const PSK_OPTIONS = { ciphers: 'PSK-AES128-GCM-SHA256', maxVersion: 'TLSv1.2' as const };
-const PSK = Buffer.alloc(16, 'k');
 
 const createHead = (path: string, ...headers: string[]) =>
   [`POST ${path} HTTP/1.1`, 'host: yard.example', ...headers, '', ''].join('\r\n');
@@ -38,15 +35,8 @@
   open: (port: number): Socket => connect(port, '127.0.0.1'),
 };
 const TLS = {
-  server: () => createTlsServer({ ...OPTIONS, ...PSK_OPTIONS, pskCallback: () => PSK }),
-  open: (port: number): Socket =>
-    connectTls({
-      ...PSK_OPTIONS,
-      port,
-      host: '127.0.0.1',
-      checkServerIdentity: () => undefined,
-      pskCallback: () => ({ psk: PSK, identity: 'caller' }),
-    }),
+  server: () => createTlsServer(OPTIONS),
+  open: connectToTlsServer,
 };
 
 interface Exchanged {
