--- a/tests/reports/callsOfBrokenStream.test.ts
+++ b/tests/reports/callsOfBrokenStream.test.ts
@@ -1,8 +1,8 @@
 /** Failure: a stream breaks off early, and one call of a caller is sent to endpoints many times. */
 import type { Socket } from 'node:net';
 import { test, type TestContext } from 'node:test';
-import { setTimeout as sleep } from 'node:timers/promises';
 import { expect } from 'earl';
+import { sleep } from '../support/fleetCalls.js';
 import { createRoute, GatewayFleet } from '../support/gatewayFleet.js';
 import { RawCaller } from '../support/rawCaller.js';
 import { startRawEndpoint, type RawCall } from '../support/rawEndpoint.js';
--- a/tests/reports/truncatedResponseHead.test.ts
+++ b/tests/reports/truncatedResponseHead.test.ts
@@ -1,7 +1,7 @@
 /** Failure: an endpoint stops inside the head of a response, and the caller receives a success without the whole body. */
 import { test } from 'node:test';
-import { setTimeout as sleep } from 'node:timers/promises';
 import { expect } from 'earl';
+import { sleep } from '../support/fleetCalls.js';
 import { createRoute, GatewayFleet } from '../support/gatewayFleet.js';
 import { RawCaller } from '../support/rawCaller.js';
 import { startRawEndpoint } from '../support/rawEndpoint.js';
--- a/tests/reports/truncatedServiceResponse.test.ts
+++ b/tests/reports/truncatedServiceResponse.test.ts
@@ -2,10 +2,10 @@
 import { once } from 'node:events';
 import { createServer, type AddressInfo, type Socket } from 'node:net';
 import { test, type TestContext } from 'node:test';
-import { setTimeout as sleep } from 'node:timers/promises';
 import { expect } from 'earl';
 import { readResponseBody } from '../../src/relay/readResponseBody.js';
 import { HttpEndpointClient } from '../../src/transports/httpEndpointClient.js';
+import { sleep } from '../support/fleetCalls.js';
 
 const RUNS = 30;
 const HEAD = 'HTTP/1.1 200 OK\r\n';
