Log where the word about an endpoint comes from, and measure the gaps between reads

The logs could not tell three suspected causes of late calls to leaving endpoints apart: a peer's older entry that brings an endpoint back, an older entry written late to the store, and a gateway that reads the store late. The lines about endpoints that are added, removed or leaving now name the origin of the word, the offset of its record and its sequence; gateways name that offset to each other. `topic_read_gap_seconds` shows how late a change may be known, and the line about a topic that is reachable again states the gap.

No decision changes. Tests pass the offsets that the directory now takes.

--- a/src/core/metrics.ts
+++ b/src/core/metrics.ts
@@ -27,6 +27,8 @@
   readonly holdSeconds: Histogram<'result'>;
   /** Holds at the homes of budgets, by result. */
   readonly remoteHolds: Counter<'result'>;
+  /** Time between the ends of two successful reads of a topic; a change is known that late at most. */
+  readonly topicReadGapSeconds: Histogram<'topic'>;
   /** Endpoints whose calls broke off before an answer, by whether they still accepted connections. */
   readonly brokenEndpoints: Counter<'state'>;
   /** Patterns of refused calls, which crashed endpoints. */
@@ -76,6 +78,11 @@
       'result',
     ]),
     remoteHolds: counter('remote_holds_total', 'Holds at the homes of budgets.', ['result']),
+    topicReadGapSeconds: histogram(
+      'topic_read_gap_seconds',
+      'Time between the ends of two successful reads of a topic of the store.',
+      ['topic'],
+    ),
     brokenEndpoints: counter(
       'broken_endpoints_total',
       'Endpoints whose calls broke off before an answer, by their state.',
--- a/src/gateway/endpointDirectory.ts
+++ b/src/gateway/endpointDirectory.ts
@@ -3,8 +3,8 @@
 import type { TimerService } from '../core/timers.js';
 import { getOrCreate } from '../core/utilities.js';
 import { CircuitBreaker } from '../routing/circuitBreaker.js';
-import type { EndpointEntry } from '../types/gateway.js';
-import type { ServiceName, VmId } from '../types/ids.js';
+import type { EndpointEntry, ListedEndpoint } from '../types/gateway.js';
+import type { Offset, ServiceName, VmId } from '../types/ids.js';
 
 /** Limits the `retry-after` of an endpoint, so that a faulty value can't exclude the endpoint forever. */
 const RETRY_AFTER_MAX_MS = 300_000;
@@ -35,7 +35,11 @@
   /** This process sends no call until this time, as the endpoint requested with `retry-after`. */
   pausedUntil = 0;
 
-  constructor(public entry: EndpointEntry) {
+  constructor(
+    public entry: EndpointEntry,
+    /** Offset of the store's record that the entry was read from. */
+    public offset: Offset,
+  ) {
     this.isLeaving = entry.state === 'leaving';
   }
 
@@ -56,6 +60,9 @@
   readonly timers: TimerService;
 }
 
+/** Where an entry was received from. */
+export type EntryOrigin = 'store' | 'peer';
+
 /** All endpoints by service. */
 export class EndpointDirectory {
   private readonly byId = new Map<VmId, EndpointInstance>();
@@ -73,10 +80,12 @@
   }
 
   /** Returns the entry of each endpoint; endpoints known to be leaving have the state `leaving`. */
-  getEntries(): EndpointEntry[] {
-    return [...this.byId.values()].map(({ entry, isLeaving }) =>
-      isLeaving ? { ...entry, state: 'leaving' } : entry,
-    );
+  getEntries(): ListedEndpoint[] {
+    return [...this.byId.values()].map(({ entry, offset, isLeaving }) => ({
+      ...entry,
+      offset,
+      state: isLeaving ? 'leaving' : entry.state,
+    }));
   }
 
   /** Returns how many endpoints are known. */
@@ -85,7 +94,7 @@
   }
 
   /** Applies an entry, unless a later start or a later entry of the same start is known. */
-  apply(entry: EndpointEntry): void {
+  apply(entry: EndpointEntry, offset: Offset, origin: EntryOrigin = 'store'): void {
     const instance = this.byId.get(entry.id);
     if (instance) {
       instance.isUnlisted = false;
@@ -98,13 +107,13 @@
       instance.entry.startedAtMs === entry.startedAtMs &&
       isSameAddress(entry, instance.entry)
     ) {
-      this.update(instance, entry);
+      this.update(instance, entry, offset, origin);
       return;
     }
     if (instance) {
       this.remove(entry.id, 'endpoint restarted');
     }
-    const endpoint = new EndpointInstance(entry);
+    const endpoint = new EndpointInstance(entry, offset);
     endpoint.isLeaving ||= this.endedStartTimes.get(entry.id) === entry.startedAtMs;
     this.byId.set(entry.id, endpoint);
     getOrCreate(this.byService, entry.service, () => []).push(endpoint);
@@ -113,6 +122,9 @@
       service: entry.service,
       state: entry.state,
       startedAtMs: entry.startedAtMs,
+      sequence: entry.sequence,
+      origin,
+      offset,
     });
   }
 
@@ -126,7 +138,14 @@
     this.byId.delete(id);
     const others = this.getEndpoints(endpoint.entry.service).filter((other) => other !== endpoint);
     this.byService.set(endpoint.entry.service, others);
-    this.options.logger.info('endpoint removed', { endpoint: id, reason });
+    const { startedAtMs, sequence } = endpoint.entry;
+    this.options.logger.info('endpoint removed', {
+      endpoint: id,
+      reason,
+      startedAtMs,
+      sequence,
+      offset: endpoint.offset,
+    });
   }
 
   /** Removes endpoints absent from a listing, unless an entry of theirs arrives within the grace period. */
@@ -171,11 +190,18 @@
     });
   }
 
-  private update(instance: EndpointInstance, entry: EndpointEntry): void {
+  private update(
+    instance: EndpointInstance,
+    entry: EndpointEntry,
+    offset: Offset,
+    origin: EntryOrigin,
+  ): void {
     const { logger } = this.options;
     instance.entry = entry;
+    instance.offset = offset;
     if (entry.state === 'leaving' && !instance.isLeaving) {
-      logger.info('endpoint leaving', { endpoint: entry.id, sequence: entry.sequence });
+      const { id, sequence } = entry;
+      logger.info('endpoint leaving', { endpoint: id, sequence, origin, offset });
     }
     instance.isLeaving ||= entry.state === 'leaving';
   }
--- a/src/gateway/gateway.ts
+++ b/src/gateway/gateway.ts
@@ -278,6 +278,7 @@
         CONFIG_WAIT_MARGIN_MS,
         deployment.silenceDetectionMs - CONFIG_WAIT_MARGIN_MS,
       ),
+      onRead: (gapMs) => this.recordRead('config', gapMs),
       onSnapshot: () => {},
       onRecord: ({ key, value }) => {
         if (key === platform.configKey && value) {
@@ -295,12 +296,17 @@
       timers,
       logger,
       minReadIntervalMs: deployment.endpointDrainMs / ENDPOINT_READS_PER_DRAIN_PERIOD,
+      onRead: (gapMs) => this.recordRead('endpoints', gapMs),
       onSnapshot: (keys, isAfterOutage) =>
         this.directory.retain(keys, isAfterOutage ? OUTAGE_GRACE_MS : 0),
       onRecord: (record) => this.applyEndpointRecord(record),
     });
   }
 
+  private recordRead(topic: string, gapMs: number): void {
+    this.options.metrics.topicReadGapSeconds.observe({ topic }, gapMs / 1_000);
+  }
+
   private applyEndpointRecord({ key, value, offset }: KeyedRecord): void {
     if (!value) {
       this.directory.remove(brandId(key), 'entry removed');
@@ -308,7 +314,7 @@
     }
     const entry = this.options.platform.decodeEndpoint(key, value);
     if (entry.ok) {
-      this.directory.apply(entry.val);
+      this.directory.apply(entry.val, offset);
     } else {
       // The writer is no valid endpoint; the previous entry of the id remains valid.
       this.options.logger.warn('endpoint entry ignored: malformed', {
--- a/src/gateway/peerSync.ts
+++ b/src/gateway/peerSync.ts
@@ -104,7 +104,7 @@
       if (response.config !== undefined) {
         config.apply(Buffer.from(response.config, 'base64'), 'peer');
       }
-      response.endpoints.forEach((entry) => directory.apply(entry));
+      response.endpoints.forEach(({ offset, ...entry }) => directory.apply(entry, offset, 'peer'));
       if (response.isCurrent) {
         directory.retain(new Set(response.endpoints.map(({ id }) => id)));
       }
--- a/src/store/keyedTopicReader.ts
+++ b/src/store/keyedTopicReader.ts
@@ -21,6 +21,8 @@
    * costs one call per record. Default 0.
    */
   readonly minReadIntervalMs?: number;
+  /** Called after each successful read with the time since the previous one ended, in milliseconds; not after the first. */
+  readonly onRead?: (gapMs: number) => void;
   /** Called for each record, in order. */
   readonly onRecord: (record: KeyedRecord) => void;
   /**
@@ -52,6 +54,8 @@
 
   private consecutiveFailures = 0;
 
+  private lastReadAt: number | undefined;
+
   constructor(private readonly options: KeyedTopicReaderOptions) {}
 
   start(): void {
@@ -154,11 +158,22 @@
   }
 
   private recordSuccess(): void {
-    const { logger, topic } = this.options;
+    const { logger, topic, timers, onRead } = this.options;
+    const now = timers.now();
+    const gapMs = this.lastReadAt === undefined ? undefined : now - this.lastReadAt;
     if (this.state.kind !== 'current') {
       const failingMs = Math.round(this.getFailingMs());
-      logger.info('store topic reachable', { topic: topic.name, failingMs, offset: this.offset });
+      logger.info('store topic reachable', {
+        topic: topic.name,
+        failingMs,
+        gapMs: gapMs === undefined ? undefined : Math.round(gapMs),
+        offset: this.offset,
+      });
+    }
+    if (gapMs !== undefined) {
+      onRead?.(gapMs);
     }
+    this.lastReadAt = now;
     this.consecutiveFailures = 0;
     this.state = { kind: 'current' };
   }
--- a/src/types/gateway.ts
+++ b/src/types/gateway.ts
@@ -1,5 +1,5 @@
 /** The gateway's configuration, endpoints and metadata of calls. */
-import type { AvailabilityZone, Brand, ServiceName, VmId, WorkspaceId } from './ids.js';
+import type { AvailabilityZone, Brand, Offset, ServiceName, VmId, WorkspaceId } from './ids.js';
 
 /** The name of a route in the configuration. */
 export type RouteName = Brand<string, 'RouteName'>;
@@ -98,6 +98,11 @@
   readonly warmupMs: number;
 }
 
+/** An entry with the offset of the store's record that it was read from. */
+export interface ListedEndpoint extends EndpointEntry {
+  readonly offset: Offset;
+}
+
 /** One part of a prompt, which endpoints may have cached. */
 export interface PromptPart {
   readonly id: string;
--- a/src/types/peers.ts
+++ b/src/types/peers.ts
@@ -1,6 +1,6 @@
 /** The messages between peers (routers or gateways), carried by JSON-RPC 2.0. */
 import type { CodeName } from '../core/codes.js';
-import type { EndpointEntry } from './gateway.js';
+import type { ListedEndpoint } from './gateway.js';
 import type { BudgetId, Incarnation, RulesVersion, VmId } from './ids.js';
 import type { AnswerCounts, CrashedCall, CrashId, Feature, PoisonPattern } from './poison.js';
 import type { RouteName } from './gateway.js';
@@ -92,7 +92,7 @@
   readonly patterns: readonly PoisonPattern[];
   /** The encoded configuration in base64, if it is newer than `configVersion` of the request. */
   readonly config: string | undefined;
-  readonly endpoints: readonly EndpointEntry[];
+  readonly endpoints: readonly ListedEndpoint[];
 }
 
 /** The calls of one gateway that a crash of their endpoint broke off. */
--- a/tests/gateway/decisions.test.ts
+++ b/tests/gateway/decisions.test.ts
@@ -16,7 +16,7 @@
 import { choosePlacement, type PlacementCandidate } from '../../src/gateway/placement.js';
 import { chooseService, RouteTable } from '../../src/gateway/routeTable.js';
 import type { EndpointEntry, Route } from '../../src/types/gateway.js';
-import { brandId, type ServiceName } from '../../src/types/ids.js';
+import { brandId, type Offset, type ServiceName } from '../../src/types/ids.js';
 
 const logger = createLogger({ level: 'error' });
 
@@ -292,40 +292,44 @@
   warmupMs: 0,
 };
 
+function at(offset: number): Offset {
+  return brandId<Offset>(offset);
+}
+
 function createDirectory(timers = new VirtualTimers()): EndpointDirectory {
   return new EndpointDirectory({ logger, timers });
 }
 
 test('an older entry of an endpoint is ignored, and a later start is a new instance', () => {
   const directory = createDirectory();
-  directory.apply({ ...entry, state: 'leaving' });
-  directory.apply({ ...entry, sequence: 1 });
+  directory.apply({ ...entry, state: 'leaving' }, at(1));
+  directory.apply({ ...entry, sequence: 1 }, at(2));
   expect(directory.getEndpoints(entry.service)[0]?.isLeaving).toEqual(true);
-  directory.apply({ ...entry, startedAtMs: 200, sequence: 0 });
+  directory.apply({ ...entry, startedAtMs: 200, sequence: 0 }, at(3));
   expect(directory.getEndpoints(entry.service).map(({ isLeaving }) => isLeaving)).toEqual([false]);
-  directory.apply({ ...entry, startedAtMs: 100, sequence: 9, state: 'leaving' });
+  directory.apply({ ...entry, startedAtMs: 100, sequence: 9, state: 'leaving' }, at(4));
   expect(directory.getEndpoints(entry.service).map(({ isLeaving }) => isLeaving)).toEqual([false]);
 });
 
 test('an endpoint whose address responds as another one gets no calls until it restarts', () => {
   const directory = createDirectory();
-  directory.apply(entry);
+  directory.apply(entry, at(1));
   directory.markEnded(directory.getEndpoints(entry.service)[0]!, 'replaced');
   directory.remove(entry.id, 'test');
-  directory.apply({ ...entry, sequence: 5 });
+  directory.apply({ ...entry, sequence: 5 }, at(2));
   expect(directory.getEndpoints(entry.service)[0]?.isLeaving).toEqual(true);
-  directory.apply({ ...entry, startedAtMs: 300 });
+  directory.apply({ ...entry, startedAtMs: 300 }, at(3));
   expect(directory.getEndpoints(entry.service)[0]?.isLeaving).toEqual(false);
 });
 
 test('an entry that expired in an outage may be renewed within the grace period; others are removed', async () => {
   const timers = new VirtualTimers();
   const directory = createDirectory(timers);
-  directory.apply(entry);
-  directory.apply({ ...entry, id: brandId('f') });
+  directory.apply(entry, at(1));
+  directory.apply({ ...entry, id: brandId('f') }, at(2));
   directory.retain(new Set(), 2_000);
   await timers.advance(1_000);
-  directory.apply(entry);
+  directory.apply(entry, at(3));
   await timers.advance(1_500);
   expect(directory.getEndpoints(entry.service).map(({ entry: { id } }) => id)).toEqual([entry.id]);
   directory.retain(new Set());
--- a/tests/gateway/endpointSignals.test.ts
+++ b/tests/gateway/endpointSignals.test.ts
@@ -1,5 +1,6 @@
 import { test } from 'node:test';
 import { expect } from 'earl';
+import { brandId } from '../../src/types/ids.js';
 import { sendResponse, createRoute, GatewayFleet, sendEvents } from '../support/gatewayFleet.js';
 
 const TIMEOUT = { timeout: 30_000 };
@@ -64,9 +65,15 @@
   });
   await fleet.call('/a/x');
   const [entry] = fleet.gateway.directory.getEntries();
-  fleet.gateway.directory.apply({ ...entry!, state: 'ready', sequence: entry!.sequence + 1 });
+  fleet.gateway.directory.apply(
+    { ...entry!, state: 'ready', sequence: entry!.sequence + 1 },
+    brandId(entry!.offset + 1),
+  );
   expect((await fleet.call('/a/x')).status).toEqual(503);
-  fleet.gateway.directory.apply({ ...entry!, state: 'ready', startedAtMs: 2, sequence: 1 });
+  fleet.gateway.directory.apply(
+    { ...entry!, state: 'ready', startedAtMs: 2, sequence: 1 },
+    brandId(entry!.offset + 2),
+  );
   expect((await fleet.call('/a/x')).status).toEqual(200);
 });
 
--- a/tests/gateway/keyedTopicReader.test.ts
+++ b/tests/gateway/keyedTopicReader.test.ts
@@ -15,6 +15,7 @@
   const process = new PausableTimers(timers);
   const values = new Map<string, string>();
   const outageFlags: boolean[] = [];
+  const gapsMs: number[] = [];
   const store = new FakeStore(server, process, faults);
   const reader = new KeyedTopicReader({
     store,
@@ -22,6 +23,7 @@
     minReadIntervalMs,
     timers: process,
     logger: createLogger({ level: 'error', format: 'json' }),
+    onRead: (gapMs) => gapsMs.push(gapMs),
     onSnapshot: (keys, isAfterOutage) => {
       outageFlags.push(isAfterOutage);
       [...values.keys()].filter((key) => !keys.has(key)).forEach((key) => values.delete(key));
@@ -37,7 +39,7 @@
     const at = server.getRecords(TOPIC).length as never;
     server.append({ topic: TOPIC, key, value: Buffer.from(value), at });
   };
-  return { timers, server, faults, store, reader, values, outageFlags, put };
+  return { timers, server, faults, store, reader, values, outageFlags, gapsMs, put };
 }
 
 test('a reader starts with the newest record of each key and receives every later record', async () => {
@@ -87,6 +89,19 @@
   reader.stop();
 });
 
+test('a reader reports the time between two successful reads, over the failed ones between them', async () => {
+  const { timers, faults, reader, gapsMs } = createReader();
+  reader.start();
+  await timers.advance(1_000);
+  gapsMs.length = 0;
+  faults.isPartitioned = true;
+  await timers.advance(3_000);
+  faults.isPartitioned = false;
+  await timers.advance(1_500);
+  expect(gapsMs[0]!).toBeGreaterThan(2_999);
+  reader.stop();
+});
+
 test('a record whose handler throws does not block later records', async () => {
   const { timers, reader, values, put } = createReader();
   put('broken', 'x');
--- a/tests/reports/duplicateRefusal.test.ts
+++ b/tests/reports/duplicateRefusal.test.ts
@@ -66,7 +66,7 @@
 function listEndpoint(fleet: GatewayFleet, id: string, port: number): void {
   const fields = { ...createEntryFields(`127.0.0.1:${port}`), born: port };
   const entry = decodeEndpointEntry(id, Buffer.from(JSON.stringify(fields))).unwrap();
-  fleet.gateway.directory.apply(entry);
+  fleet.gateway.directory.apply(entry, brandId(0));
 }
 
 /** What an endpoint writes after its response to the call `first`, and for the call `second`, segment by segment. */
