Remember that an endpoint has announced its leaving after its entry is gone, and in any order

An endpoint that had announced that it leaves got calls again if its entry was removed and another entry of the same start followed: the announcement went with the entry. A response that said so counted only for the last start that anyone had marked, so a late response of an earlier start took the mark off a later one. An announcement with a lower sequence than the known entry, or from a peer that had read less, was dropped as an older word.

Leaving is final for a start of an endpoint, so it now counts whenever it arrives, is kept with the removed endpoint, and belongs to its own start. The four tests added to leftEndpointUsedAgain fail on the commit before.

--- a/src/gateway/endpointDirectory.ts
+++ b/src/gateway/endpointDirectory.ts
@@ -83,9 +83,6 @@
   /** The last known state of removed endpoints, so that older entries don't add them again. */
   private readonly removed = new LRUCache<VmId, EndpointInstance>({ max: REMOVED_ENDPOINTS_MAX });
 
-  /** Start times of instances that have ended, by id: a later entry of the same start does not revive them. */
-  private readonly endedStartTimes = new Map<VmId, number>();
-
   /** Every record of the store before this offset has been applied. */
   private nextOffset = 0 as Offset;
 
@@ -154,6 +151,8 @@
     endpoints.forEach(({ offset, ...entry }) => {
       if (offset >= this.nextOffset) {
         this.applyEntry(entry, offset, 'peer');
+      } else {
+        this.applyLeaving(entry, offset, 'peer');
       }
     });
     this.getUnlisted(new Set(endpoints.map(({ id }) => id)), nextOffset).forEach((endpoint) =>
@@ -164,9 +163,14 @@
   /** Records that a response shows an endpoint to be leaving, or replaced by another one at its address. */
   markEnded(endpoint: EndpointInstance, reason: 'replaced' | 'leaving'): void {
     const { id, startedAtMs } = endpoint.entry;
-    this.endedStartTimes.set(id, startedAtMs);
-    if (!endpoint.isLeaving) {
-      endpoint.isLeaving = true;
+    const { isLeaving } = endpoint;
+    const current = this.getLastKnown(id);
+    endpoint.isLeaving = true;
+    // The entry may have been removed or have got another address since the call was sent.
+    if (current?.entry.startedAtMs === startedAtMs) {
+      current.isLeaving = true;
+    }
+    if (!isLeaving) {
       this.options.logger.info('endpoint excluded because of its response', {
         endpoint: id,
         reason,
@@ -207,6 +211,7 @@
     const { id } = entry;
     const known = this.getLastKnown(id);
     const isPresent = this.byId.has(id);
+    this.applyLeaving(entry, offset, origin);
     if (known && isPresent && isOlder(entry, known)) {
       return;
     }
@@ -216,14 +221,14 @@
     }
     const isSameStart = known?.entry.startedAtMs === entry.startedAtMs;
     if (known && isPresent && isSameStart && isSameAddress(entry, known.entry)) {
-      this.update(known, entry, offset, origin);
+      this.update(known, entry, offset);
       return;
     }
     if (known && isPresent) {
       this.removeEndpoint(known, offset, 'endpoint restarted');
     }
     const endpoint = new EndpointInstance(entry, offset);
-    endpoint.isLeaving ||= this.endedStartTimes.get(id) === entry.startedAtMs;
+    endpoint.isLeaving ||= isSameStart && known.isLeaving;
     this.add(endpoint, origin);
   }
 
@@ -268,27 +273,32 @@
   ): void {
     const { id, startedAtMs, sequence } = entry;
     if (!isOlder(entry, removed)) {
+      removed.isLeaving =
+        entry.state === 'leaving' ||
+        (removed.isLeaving && startedAtMs === removed.entry.startedAtMs);
       removed.entry = entry;
     }
     const fields = { endpoint: id, startedAtMs, sequence, origin, offset };
     this.options.logger.info('endpoint entry ignored: older than the removal', fields);
   }
 
-  private update(
-    instance: EndpointInstance,
-    entry: EndpointEntry,
+  /** An endpoint that leaves never returns within the same start, so this counts in whatever order it arrives. */
+  private applyLeaving(
+    { id, startedAtMs, sequence, state }: EndpointEntry,
     offset: Offset,
     origin: EntryOrigin,
   ): void {
-    const { logger } = this.options;
+    const known = this.getLastKnown(id);
+    if (state === 'leaving' && known?.entry.startedAtMs === startedAtMs && !known.isLeaving) {
+      known.isLeaving = true;
+      this.options.logger.info('endpoint leaving', { endpoint: id, sequence, origin, offset });
+    }
+  }
+
+  private update(instance: EndpointInstance, entry: EndpointEntry, offset: Offset): void {
     instance.isUnlisted &&= entry.sequence <= instance.entry.sequence;
     instance.entry = entry;
     instance.offset = Math.max(instance.offset, offset) as Offset;
-    if (entry.state === 'leaving' && !instance.isLeaving) {
-      const { id, sequence } = entry;
-      logger.info('endpoint leaving', { endpoint: id, sequence, origin, offset });
-    }
-    instance.isLeaving ||= entry.state === 'leaving';
   }
 }
 
--- a/tests/reports/leftEndpointUsedAgain.test.ts
+++ b/tests/reports/leftEndpointUsedAgain.test.ts
@@ -75,6 +75,52 @@
   expect(getUsedIds(directory)).toEqual([]);
 });
 
+test('an endpoint that has announced that it leaves is not used again after its removal, whatever it writes', () => {
+  const directory = createDirectory();
+  directory.apply(entry, at(1));
+  directory.apply({ ...entry, sequence: 5, state: 'leaving' }, at(2));
+  directory.remove(ID, at(3));
+  directory.apply({ ...entry, sequence: 6 }, at(4));
+  expect(getUsedIds(directory)).toEqual([]);
+  directory.apply({ ...entry, startedAtMs: 200 }, at(5));
+  expect(getUsedIds(directory)).toEqual([ID]);
+});
+
+test('a response that shows an endpoint to be leaving counts after its removal, and for its own start only', () => {
+  const directory = createDirectory();
+  directory.apply(entry, at(1));
+  const [first] = directory.getEndpoints(SERVICE);
+  directory.remove(ID, at(2));
+  directory.markEnded(first!, 'leaving');
+  directory.apply({ ...entry, sequence: 7 }, at(3));
+  expect(getUsedIds(directory)).toEqual([]);
+  directory.apply({ ...entry, startedAtMs: 200, sequence: 1 }, at(4));
+  const [second] = directory.getEndpoints(SERVICE);
+  directory.markEnded(second!, 'leaving');
+  directory.markEnded(first!, 'leaving');
+  directory.remove(ID, at(5));
+  directory.apply({ ...entry, startedAtMs: 200, sequence: 2 }, at(6));
+  expect(getUsedIds(directory)).toEqual([]);
+});
+
+test('the word of a peer that an endpoint leaves counts, although the peer has read less', () => {
+  const directory = createDirectory();
+  const peer = createDirectory();
+  peer.apply(entry, at(1));
+  peer.markEnded(peer.getEndpoints(SERVICE)[0]!, 'leaving');
+  directory.apply({ ...entry, sequence: 15 }, at(6));
+  directory.merge(peer.getListing());
+  expect(getUsedIds(directory)).toEqual([]);
+});
+
+test('the announcement of an endpoint that it leaves counts, although a later entry has been stored before', () => {
+  const directory = createDirectory();
+  directory.apply({ ...entry, sequence: 6 }, at(1));
+  directory.apply({ ...entry, sequence: 5, state: 'leaving' }, at(2));
+  directory.apply({ ...entry, sequence: 7 }, at(3));
+  expect(getUsedIds(directory)).toEqual([]);
+});
+
 test('an endpoint whose entry has expired is used again once it has written a newer one', () => {
   const directory = createDirectory();
   const peer = createDirectory();
