Give no grace period to endpoints that left during a short failure of reads

After any failure of reads, endpoints that were absent from the new listing stayed in use for 2 s, as entries that expired while the store was away come back within that time.

An entry expires after three heartbeats. If the last successful read is less than two heartbeats old, no entry can have expired since the store went away, so what is absent has left.

--- a/src/gateway/gateway.ts
+++ b/src/gateway/gateway.ts
@@ -37,6 +37,7 @@
 import { MatchRoute } from './filters/matchRoute.js';
 import { RejectPoison } from './filters/rejectPoison.js';
 import { GatewayServer } from './gatewayServer.js';
+import { getOutageGraceMs } from './outageGrace.js';
 import { PeerSync } from './peerSync.js';
 
 /** The platform's store, topics, names and codecs. */
@@ -74,7 +75,6 @@
 
 const ALLOTMENT_HORIZON_MS = 8_500; // partitions from the store last up to 9 s; peer transfers balance uneven spending
 const CRASH_KEY = 'crashes'; // all gateways choose the same home to decide about crashes
-const OUTAGE_GRACE_MS = 2_000; // entries that expired in a store outage are renewed within this time
 const STOP_UNREADY_MS = 2_600; // two readiness probes fail by then; a long call accepted later cannot end within the grace period
 const STOP_MARGIN_MS = 500;
 const CONFIG_WAIT_MARGIN_MS = 1_200; // the store client's timeout and the read after it
@@ -297,8 +297,10 @@
       logger,
       minReadIntervalMs: deployment.endpointDrainMs / ENDPOINT_READS_PER_DRAIN_PERIOD,
       onRead: (gapMs) => this.recordRead('endpoints', gapMs),
-      onSnapshot: ({ keys, end, isAfterOutage }) =>
-        this.directory.retain(keys, end, isAfterOutage ? OUTAGE_GRACE_MS : 0),
+      onSnapshot: (snapshot) => {
+        const graceMs = getOutageGraceMs(snapshot, deployment.endpointHeartbeatMs);
+        this.directory.retain(snapshot.keys, snapshot.end, graceMs);
+      },
       onRecord: (record) => this.applyEndpointRecord(record),
     });
   }
--- a/src/store/keyedTopicReader.ts
+++ b/src/store/keyedTopicReader.ts
@@ -15,6 +15,8 @@
   readonly end: Offset;
   /** Whether reads failed before. Keys may be missing because their writers have not reconnected yet. */
   readonly isAfterOutage: boolean;
+  /** Time since the end of the last successful read, in milliseconds; 0 if there was none. */
+  readonly gapMs: number;
 }
 
 /** Options of a topic reader. */
@@ -123,7 +125,8 @@
     const { records, end } = newest.val;
     const present = records.filter(({ value }) => value !== undefined);
     const keys = new Set(present.map(({ key }) => key));
-    onSnapshot({ keys, end, isAfterOutage: this.state.kind === 'failing' });
+    const isAfterOutage = this.state.kind === 'failing';
+    onSnapshot({ keys, end, isAfterOutage, gapMs: this.getGapMs() ?? 0 });
     present.forEach((record) => this.deliverRecord(record));
     this.offset = end;
     return undefined;
@@ -164,10 +167,14 @@
     }
   }
 
+  /** Returns the time since the end of the last successful read, or `undefined` if there was none. */
+  private getGapMs(): number | undefined {
+    return this.lastReadAt === undefined ? undefined : this.options.timers.now() - this.lastReadAt;
+  }
+
   private recordSuccess(): void {
     const { logger, topic, timers, onRead } = this.options;
-    const now = timers.now();
-    const gapMs = this.lastReadAt === undefined ? undefined : now - this.lastReadAt;
+    const gapMs = this.getGapMs();
     if (this.state.kind !== 'current') {
       const failingMs = Math.round(this.getFailingMs());
       logger.info('store topic reachable', {
@@ -180,7 +187,7 @@
     if (gapMs !== undefined) {
       onRead?.(gapMs);
     }
-    this.lastReadAt = now;
+    this.lastReadAt = timers.now();
     this.consecutiveFailures = 0;
     this.state = { kind: 'current' };
   }
--- a/src/types/gateway.ts
+++ b/src/types/gateway.ts
@@ -217,6 +217,8 @@
   readonly retryRatio: number;
   readonly retryBurst: number;
   readonly retryWindowMs: number;
+  /** Interval at which endpoints renew their entries, in milliseconds. */
+  readonly endpointHeartbeatMs: number;
   /** Time for which calls may still reach an endpoint that announced that it is leaving, in milliseconds. */
   readonly endpointDrainMs: number;
   /** Time within which a process must detect that its connections are silent, in milliseconds. */
--- a/tests/gateway/keyedTopicReader.test.ts
+++ b/tests/gateway/keyedTopicReader.test.ts
@@ -2,7 +2,8 @@
 import { expect } from 'earl';
 import { createLogger } from '../../src/core/logging.js';
 import { VirtualTimers } from '../../src/core/timers.js';
-import { KeyedTopicReader } from '../../src/store/keyedTopicReader.js';
+import { getOutageGraceMs } from '../../src/gateway/outageGrace.js';
+import { KeyedTopicReader, type TopicSnapshot } from '../../src/store/keyedTopicReader.js';
 import { createStoreFaults, FakeStore, FakeStoreServer } from '../support/fakeStore.js';
 import { PausableTimers } from '../support/pausableTimers.js';
 
@@ -16,6 +17,7 @@
   const values = new Map<string, string>();
   const outageFlags: boolean[] = [];
   const gapsMs: number[] = [];
+  const snapshots: TopicSnapshot[] = [];
   const store = new FakeStore(server, process, faults);
   const reader = new KeyedTopicReader({
     store,
@@ -24,7 +26,9 @@
     timers: process,
     logger: createLogger({ level: 'error', format: 'json' }),
     onRead: (gapMs) => gapsMs.push(gapMs),
-    onSnapshot: ({ keys, isAfterOutage }) => {
+    onSnapshot: (snapshot) => {
+      const { keys, isAfterOutage } = snapshot;
+      snapshots.push(snapshot);
       outageFlags.push(isAfterOutage);
       [...values.keys()].filter((key) => !keys.has(key)).forEach((key) => values.delete(key));
     },
@@ -39,7 +43,7 @@
     const at = server.getRecords(TOPIC).length as never;
     server.append({ topic: TOPIC, key, value: Buffer.from(value), at });
   };
-  return { timers, server, faults, store, reader, values, outageFlags, gapsMs, put };
+  return { timers, server, faults, store, reader, values, outageFlags, gapsMs, snapshots, put };
 }
 
 test('a reader starts with the newest record of each key and receives every later record', async () => {
@@ -102,6 +106,27 @@
   reader.stop();
 });
 
+// Failure: an endpoint that left while two reads failed was used for 2 s more, as after an outage in which entries expire.
+test('endpoints that left during a short failure of reads get no grace period', async () => {
+  const { timers, faults, reader, snapshots } = createReader();
+  reader.start();
+  await timers.advance(100);
+  faults.isPartitioned = true;
+  await timers.advance(1_000);
+  faults.isPartitioned = false;
+  await timers.advance(1_000);
+  faults.isPartitioned = true;
+  await timers.advance(4_000);
+  faults.isPartitioned = false;
+  await timers.advance(2_000);
+  reader.stop();
+  const heartbeatMs = 1_200;
+  expect(snapshots.map((snapshot) => snapshot.isAfterOutage)).toEqual([false, true, true]);
+  expect(snapshots.map((snapshot) => getOutageGraceMs(snapshot, heartbeatMs))).toEqual([
+    0, 0, 2_000,
+  ]);
+});
+
 test('a record whose handler throws does not block later records', async () => {
   const { timers, reader, values, put } = createReader();
   put('broken', 'x');
--- a/tests/support/gatewayFleet.ts
+++ b/tests/support/gatewayFleet.ts
@@ -174,6 +174,7 @@
         retryRatio: 1,
         retryBurst: 100,
         retryWindowMs: 10_000,
+        endpointHeartbeatMs: 1_200,
         endpointDrainMs: 2_000,
         silenceDetectionMs: 3_000,
       },
