Ask a peer about the endpoints after a gateway has started

A gateway that starts reads the last entry of each endpoint. If that entry was stored after the endpoint's removal, it used the endpoint until the entry expired or the endpoint said in a response that it leaves; the gateways that had read the removal ignored it. It also didn't know of announcements that were made in responses only.

Peers are now polled after the start, at most five times, until one has read as far as this gateway. Its listing lacks the endpoint as of a later offset than that of the late entry, so the endpoint is removed. The first test of peerSync fails without the change; so does the one that counts the polls.

--- a/src/gateway/endpointDirectory.ts
+++ b/src/gateway/endpointDirectory.ts
@@ -107,6 +107,11 @@
     return { nextOffset: this.nextOffset, endpoints: this.getEntries() };
   }
 
+  /** Returns the offset before which every record of the store has been applied; 0 if none has been read. */
+  getNextOffset(): Offset {
+    return this.nextOffset;
+  }
+
   /** Returns how many endpoints are known. */
   getSize(): number {
     return this.byId.size;
--- a/src/gateway/peerSync.ts
+++ b/src/gateway/peerSync.ts
@@ -1,4 +1,4 @@
-/** Exchanges state between gateways: patterns of refused calls, and configuration and endpoints while the store is unavailable. */
+/** Exchanges state between gateways: patterns of refused calls, configuration and endpoints. */
 import type { Logger } from '../core/logging.js';
 import type { TimerService, Unsubscribe } from '../core/timers.js';
 import { getErrorMessage } from '../core/utilities.js';
@@ -25,8 +25,12 @@
 const POLL_INTERVAL_MS = 400;
 const STORE_FAILURE_MIN_MS = 200; // a single lost response is not an outage
 const CALL_TIMEOUT_MS = 350;
+const START_POLLS_MAX = 5; // peers may be starting as well, or have read less
 
-/** Polls peers in turn while the store is unavailable. */
+/**
+ * Polls peers in turn while the store is unavailable. Also polls them after the start: the store lists the last entry of
+ * each endpoint, which may be one that was stored after its removal, and peers have read what was before.
+ */
 export class PeerSync {
   private unsubscribe: Unsubscribe = () => {};
 
@@ -34,6 +38,8 @@
 
   private nextPeerIndex = 0;
 
+  private startPollsLeft = START_POLLS_MAX;
+
   constructor(private readonly options: PeerSyncOptions) {}
 
   /** Starts polling. */
@@ -77,9 +83,11 @@
   }
 
   private pollPeer(): void {
-    if (this.isRequestPending || this.options.getStoreFailingMs() < STORE_FAILURE_MIN_MS) {
+    const isStoreFailing = this.options.getStoreFailingMs() >= STORE_FAILURE_MIN_MS;
+    if (this.isRequestPending || !(isStoreFailing || this.startPollsLeft > 0)) {
       return;
     }
+    this.startPollsLeft -= 1;
     const peers = this.options.getPeers();
     this.nextPeerIndex += 1;
     const peer = peers[this.nextPeerIndex % Math.max(1, peers.length)];
@@ -104,6 +112,10 @@
         config.apply(Buffer.from(response.config, 'base64'), 'peer');
       }
       directory.merge(response);
+      const nextOffset = directory.getNextOffset();
+      if (nextOffset > 0 && response.nextOffset >= nextOffset) {
+        this.startPollsLeft = 0;
+      }
     } finally {
       this.isRequestPending = false;
     }
--- /dev/null
+++ b/tests/gateway/peerSync.test.ts
@@ -0,0 +1,122 @@
+import { test } from 'node:test';
+import { expect } from 'earl';
+import { createLogger } from '../../src/core/logging.js';
+import { createMetrics } from '../../src/core/metrics.js';
+import { VirtualTimers } from '../../src/core/timers.js';
+import { ConfigController } from '../../src/gateway/configController.js';
+import { EndpointDirectory } from '../../src/gateway/endpointDirectory.js';
+import { PeerSync } from '../../src/gateway/peerSync.js';
+import { PatternList } from '../../src/poison/patternList.js';
+import type { EndpointEntry } from '../../src/types/gateway.js';
+import { brandId, type Offset, type ServiceName, type VmId } from '../../src/types/ids.js';
+import { FakeNetwork, FakePeerClient } from '../support/fakePeers.js';
+import { PausableTimers } from '../support/pausableTimers.js';
+
+const SERVICE: ServiceName = brandId('s');
+
+const entry: EndpointEntry = {
+  id: brandId('e'),
+  startedAtMs: 100,
+  sequence: 9,
+  service: SERVICE,
+  host: '127.0.0.1',
+  port: 80,
+  availabilityZone: brandId('z'),
+  slots: 4,
+  state: 'ready',
+  warmupMs: 0,
+};
+
+function at(offset: number): Offset {
+  return brandId<Offset>(offset);
+}
+
+/** Creates gateways on one network that exchange their state; their stores are read by the test. */
+function createFleet(names: readonly string[]) {
+  const timers = new VirtualTimers();
+  const network = new FakeNetwork(timers);
+  const logger = createLogger({ level: 'error', format: 'json' });
+  const gateways = names.map((name) => {
+    const process = new PausableTimers(timers);
+    const directory = new EndpointDirectory({ logger, timers: process });
+    const state = { storeFailingMs: 0 };
+    const sync = new PeerSync({
+      timers: process,
+      logger,
+      client: new FakePeerClient(network, name, process),
+      config: new ConfigController({
+        logger,
+        decode: () => {
+          throw new Error('no configuration in this test');
+        },
+        onChange: () => {},
+      }),
+      directory,
+      patterns: new PatternList({ timers: process, logger, metrics: createMetrics() }),
+      getPeers: () => names.filter((other) => other !== name).map((other) => brandId<VmId>(other)),
+      getStoreFailingMs: () => state.storeFailingMs,
+    });
+    network.nodes.set(name, {
+      process,
+      handlers: { 'gateway.state': (request) => sync.createStateResponse(request) },
+      isAlive: true,
+    });
+    return { directory, sync, state };
+  });
+  return { timers, network, gateways };
+}
+
+function isUsed(directory: EndpointDirectory): boolean {
+  return directory.getEndpoints(SERVICE).some((endpoint) => endpoint.isEligible(0));
+}
+
+// Failure: a gateway that starts takes the last entry in the store for the state of an endpoint that has left.
+test('a gateway that starts after an endpoint left learns from a peer that its listed entry is an old one', async () => {
+  const { timers, gateways } = createFleet(['a', 'b']);
+  const [a, b] = gateways;
+  a!.directory.apply(entry, at(1));
+  a!.directory.remove(entry.id, at(2));
+  a!.directory.apply(entry, at(3));
+  b!.directory.retain(new Set([entry.id]), at(4));
+  b!.directory.apply(entry, at(3));
+  expect(isUsed(b!.directory)).toEqual(true);
+  b!.sync.start();
+  await timers.advance(1_000);
+  expect(isUsed(b!.directory)).toEqual(false);
+  b!.sync.stop();
+});
+
+test('a gateway that has started does not poll its peers for long while the store is available', async () => {
+  const { timers, network, gateways } = createFleet(['a', 'b']);
+  let polls = 0;
+  const node = network.nodes.get('a')!;
+  const { handlers } = node;
+  network.nodes.set('a', {
+    ...node,
+    handlers: {
+      'gateway.state': (request) => {
+        polls += 1;
+        return handlers['gateway.state']!(request);
+      },
+    },
+  });
+  const [, b] = gateways;
+  b!.directory.apply(entry, at(3));
+  b!.sync.start();
+  await timers.advance(10_000);
+  expect(polls).toEqual(5);
+  b!.sync.stop();
+});
+
+test('a gateway without the store learns from its peers in turn, in whatever order they have read', async () => {
+  const { timers, gateways } = createFleet(['a', 'b', 'c']);
+  const [a, b, c] = gateways;
+  gateways.forEach(({ directory }) => directory.apply(entry, at(1)));
+  a!.directory.remove(entry.id, at(2));
+  c!.state.storeFailingMs = 1_000;
+  c!.sync.start();
+  await timers.advance(2_000);
+  expect(isUsed(c!.directory)).toEqual(false);
+  expect(isUsed(b!.directory)).toEqual(true);
+  c!.sync.stop();
+});
