Keep what an endpoint asked for when its entry expires and comes back

An entry that comes back at the same address for the same start now continues the instance; one at another address takes over the pause. A later start begins anew. The new test fails without the change.

--- a/src/gateway/endpointDirectory.ts
+++ b/src/gateway/endpointDirectory.ts
@@ -225,15 +225,21 @@
       return;
     }
     const isSameStart = known?.entry.startedAtMs === entry.startedAtMs;
-    if (known && isPresent && isSameStart && isSameAddress(entry, known.entry)) {
+    if (known && isSameStart && isSameAddress(entry, known.entry)) {
       this.update(known, entry, offset);
+      if (!isPresent) {
+        this.add(known, origin);
+      }
       return;
     }
     if (known && isPresent) {
       this.removeEndpoint(known, offset, 'endpoint restarted');
     }
     const endpoint = new EndpointInstance(entry, offset);
-    endpoint.isLeaving ||= isSameStart && known.isLeaving;
+    if (known && isSameStart) {
+      endpoint.isLeaving ||= known.isLeaving;
+      endpoint.pausedUntil = known.pausedUntil;
+    }
     this.add(endpoint, origin);
   }
 
--- a/tests/reports/leftEndpointUsedAgain.test.ts
+++ b/tests/reports/leftEndpointUsedAgain.test.ts
@@ -137,6 +137,24 @@
   expect(getUsedIds(peer)).toEqual([ID]);
 });
 
+// Failure: an endpoint that had asked for a pause got calls as soon as its entry had expired and come back.
+test('an endpoint whose entry has expired and come back, or has moved, keeps its pause and its calls in flight', () => {
+  const directory = createDirectory();
+  directory.apply(entry, at(1));
+  const [endpoint] = directory.getEndpoints(SERVICE);
+  directory.applyRetryAfter(endpoint!, 60_000);
+  endpoint!.inFlight = 3;
+  directory.remove(ID, at(2));
+  directory.apply({ ...entry, sequence: 15 }, at(3));
+  const [returned] = directory.getEndpoints(SERVICE);
+  expect([returned!.pausedUntil, returned!.inFlight]).toEqual([endpoint!.pausedUntil, 3]);
+  directory.apply({ ...entry, sequence: 16, port: 81 }, at(4));
+  const [moved] = directory.getEndpoints(SERVICE);
+  expect(moved!.pausedUntil).toEqual(endpoint!.pausedUntil);
+  directory.apply({ ...entry, startedAtMs: 200 }, at(5));
+  expect(directory.getEndpoints(SERVICE).map(({ pausedUntil }) => pausedUntil)).toEqual([0]);
+});
+
 test('a listing that is older than what was read neither adds nor removes endpoints', () => {
   const directory = createDirectory();
   directory.apply(entry, at(1));
