--- /dev/null
+++ b/src/gateway/limits/endpointLimit.ts
@@ -0,0 +1,94 @@
+/** The limit on calls that one endpoint has named for all gateways together, and this gateway's part of it. */
+import { TokenBucket } from '../../routing/tokenBucket.js';
+import { getRateShare, type GatewayRank } from './rateShare.js';
+
+/** What a response of the endpoint showed. */
+export interface LimitWord {
+  /** `undefined` if the endpoint named no limit any more. */
+  readonly limitPerSecond: number | undefined;
+  /** When a gateway received the response. */
+  readonly observedAt: number;
+}
+
+/** A gateway without a part may send a call when no response has confirmed the limit for this time. */
+const CONFIRMATION_MS = 30_000;
+/** Gateways do so one after another. */
+const PROBE_INTERVAL_MS = 4_000;
+const RANK_LIFETIME_MS = 5_000; // words come often, and ranking a large fleet takes time
+
+/** The limit of one start of one endpoint. */
+export class EndpointLimit {
+  private word: LimitWord | undefined;
+
+  private bucket: TokenBucket | undefined;
+
+  private rank: GatewayRank = { rank: undefined, fleetSize: 0 };
+
+  private rankedAt = 0;
+
+  private lastProbeAt = Number.NEGATIVE_INFINITY;
+
+  /** Returns the newest word, or `undefined` if the endpoint has never named a limit. */
+  getWord(): LimitWord | undefined {
+    return this.word;
+  }
+
+  /** Returns whether a limit is in force. */
+  isInForce(): boolean {
+    return this.bucket !== undefined;
+  }
+
+  /** Returns the position of this gateway as of the last ranking. */
+  getRank(): GatewayRank {
+    return this.rank;
+  }
+
+  /** Applies a word unless it is older than the known one. */
+  apply(word: LimitWord, getRank: () => GatewayRank, nowMs: number): void {
+    if (this.word && word.observedAt <= this.word.observedAt) {
+      return;
+    }
+    this.word = word;
+    if (word.limitPerSecond === undefined) {
+      this.bucket = undefined;
+      return;
+    }
+    if (!this.bucket || nowMs - this.rankedAt > RANK_LIFETIME_MS) {
+      this.rank = getRank();
+      this.rankedAt = nowMs;
+    }
+    const shape = getRateShare(word.limitPerSecond, this.rank);
+    if (this.bucket) {
+      this.bucket.reshape(shape, nowMs);
+    } else {
+      this.bucket = new TokenBucket(shape, nowMs);
+    }
+  }
+
+  /** Returns whether this gateway may send a call now. */
+  isOpen(nowMs: number): boolean {
+    return !this.bucket || this.bucket.hasToken(nowMs) || nowMs >= this.getProbeAt();
+  }
+
+  /** Counts a call that is sent. */
+  take(nowMs: number): void {
+    if (this.bucket?.hasToken(nowMs)) {
+      this.bucket.take(nowMs);
+    } else {
+      this.lastProbeAt = nowMs;
+    }
+  }
+
+  /** Returns the time until this gateway may send a call, in milliseconds. */
+  getDelayMs(nowMs: number): number {
+    return this.bucket
+      ? Math.min(this.bucket.getDelayMs(nowMs), Math.max(0, this.getProbeAt() - nowMs))
+      : 0;
+  }
+
+  private getProbeAt(): number {
+    const { rank, fleetSize } = this.rank;
+    const confirmedAt = Math.max(this.word?.observedAt ?? 0, this.lastProbeAt);
+    return confirmedAt + CONFIRMATION_MS + (rank ?? fleetSize) * PROBE_INTERVAL_MS;
+  }
+}
