Keep to the limits that endpoints name for all gateways together

Endpoints in need named in their responses how many calls a second they take from all gateways, and got as many as before: nothing read Server-Limit.

A limit of a few calls a second can't be divided evenly: on 86 gateways one call of each is too many. So only as many gateways use a limited endpoint as can each hold one call ready within what it tolerates, the first ones in the order of rendezvous hashing over the known gateways; each has a token bucket, which starts empty. The decision needs no message, so it holds while the store and the peers are away. Every send counts, retries and resumes too. Gateways tell each other, one random peer at a time, while limits are in force; only so do those without a part learn of the end. A limit ends with a genuine success that names none, to a call sent after the limit was known; a value that can't be used changes nothing. If all endpoints are closed, the call is refused at once, with a time to come back that is spread.

--- a/src/core/metrics.ts
+++ b/src/core/metrics.ts
@@ -29,6 +29,8 @@
   readonly remoteHolds: Counter<'result'>;
   /** Time between the ends of two successful reads of a topic; a change is known that late at most. */
   readonly topicReadGapSeconds: Histogram<'topic'>;
+  /** Calls sent to endpoints that have named a limit. */
+  readonly limitedCalls: Counter;
   /** Endpoints whose calls broke off before an answer, by whether they still accepted connections. */
   readonly brokenEndpoints: Counter<'state'>;
   /** Patterns of refused calls, which crashed endpoints. */
@@ -83,6 +85,7 @@
       'Time between the ends of two successful reads of a topic of the store.',
       ['topic'],
     ),
+    limitedCalls: counter('limited_calls_total', 'Calls sent to endpoints that name a limit.'),
     brokenEndpoints: counter(
       'broken_endpoints_total',
       'Endpoints whose calls broke off before an answer, by their state.',
--- a/src/gateway/endpointDirectory.ts
+++ b/src/gateway/endpointDirectory.ts
@@ -6,6 +6,7 @@
 import { CircuitBreaker } from '../routing/circuitBreaker.js';
 import type { EndpointEntry, EndpointListing, ListedEndpoint } from '../types/gateway.js';
 import type { Offset, ServiceName, VmId } from '../types/ids.js';
+import { EndpointLimit } from './limits/endpointLimit.js';
 
 /** How many removed endpoints are remembered; more than leave while a partition lasts. */
 const REMOVED_ENDPOINTS_MAX = 6_000;
@@ -36,6 +37,9 @@
   /** This process prefers other endpoints until this time, after a refusal or a failed connection. */
   backoffUntil = 0;
 
+  /** The limit that the endpoint has named for all gateways together. */
+  limit = new EndpointLimit();
+
   /** This process sends no call until this time, as the endpoint requested with `retry-after`. */
   pausedUntil = 0;
 
@@ -52,7 +56,12 @@
 
   /** Returns whether a call may be sent to the endpoint at all. */
   isEligible(nowMs: number): boolean {
-    return !this.isLeaving && this.pausedUntil <= nowMs;
+    return !this.isLeaving && this.pausedUntil <= nowMs && this.limit.isOpen(nowMs);
+  }
+
+  /** Returns the time until the endpoint's own wishes allow a call of this process, in milliseconds. */
+  getWaitMs(nowMs: number): number {
+    return Math.max(0, this.pausedUntil - nowMs, this.limit.getDelayMs(nowMs));
   }
 
   /** Returns whether the endpoint is eligible, not in backoff, and its circuit breaker admits a call. */
@@ -93,6 +102,16 @@
     return this.byService.get(service) ?? [];
   }
 
+  /** Returns all endpoints, including those that are leaving. */
+  getInstances(): readonly EndpointInstance[] {
+    return [...this.byId.values()];
+  }
+
+  /** Returns an endpoint, or `undefined` if it is not listed. */
+  get(id: VmId): EndpointInstance | undefined {
+    return this.byId.get(id);
+  }
+
   /** Returns the entry of each endpoint; endpoints known to be leaving have the state `leaving`. */
   getEntries(): ListedEndpoint[] {
     return [...this.byId.values()].map(({ entry, offset, isLeaving }) => ({
@@ -239,6 +258,7 @@
     if (known && isSameStart) {
       endpoint.isLeaving ||= known.isLeaving;
       endpoint.pausedUntil = known.pausedUntil;
+      endpoint.limit = known.limit;
     }
     this.add(endpoint, origin);
   }
--- a/src/gateway/filters/forwardCall.ts
+++ b/src/gateway/filters/forwardCall.ts
@@ -26,6 +26,7 @@
   type AttemptFailure,
 } from '../forward/retryPolicy.js';
 import { StreamRelay } from '../forward/responseRelay.js';
+import type { LimitController } from '../limits/limitController.js';
 import { createDrainingRefusal, isForwardingAllowed } from '../stopPolicy.js';
 import { choosePlacement } from '../placement.js';
 import { getPoisonRefusal } from './rejectPoison.js';
@@ -38,6 +39,7 @@
   readonly codec: HeaderCodec;
   readonly directory: EndpointDirectory;
   readonly poison: PoisonController;
+  readonly limits: LimitController;
   readonly availabilityZone: string;
   readonly retryWindowMs: number;
   readonly retryRatio: number;
@@ -55,6 +57,7 @@
 const RESPONSE_BYTES_IN_FLIGHT_MAX = 24 * 1_048_576;
 const NO_ENDPOINT_RETRY_AFTER_MS = 500;
 const REFUSED_RETRY_AFTER_MS = 300;
+const LIMITED_RETRY_AFTER_MAX_MS = 1_000;
 
 /** The last filter of the chain. Ends the call with a response or a refusal. */
 export class ForwardCall extends Filter<GatewayCall> {
@@ -210,6 +213,9 @@
   private async tryEndpoint(endpoint: EndpointInstance): Promise<AttemptResult> {
     const { call, options, connections, stream } = this;
     this.triedEndpoints.add(endpoint);
+    if (endpoint.limit.isInForce()) {
+      options.metrics.limitedCalls.inc();
+    }
     this.currentAttempt = new EndpointAttempt({
       ...options,
       ...connections,
@@ -250,16 +256,21 @@
     return candidates[index];
   }
 
-  /** Returns the time until the first endpoint accepts calls again if all are paused, but at least the default. */
+  /**
+   * Returns the time until the first endpoint accepts calls again if none does now, but at least the default. The caller's
+   * next call probably comes to another gateway, so a limit on this one's calls says little, and spreads the callers.
+   */
   private getRetryAfterMs(defaultMs: number): number {
-    const { directory, timers } = this.options;
+    const { directory, timers, random } = this.options;
     const now = timers.now();
     const activeEndpoints = directory
       .getEndpoints(this.call.service)
       .filter(({ isLeaving }) => !isLeaving);
-    const pausesMs = activeEndpoints.map(({ pausedUntil }) => pausedUntil - now);
-    const areAllPaused = pausesMs.length > 0 && pausesMs.every((pauseMs) => pauseMs > 0);
-    return areAllPaused ? Math.max(defaultMs, Math.min(...pausesMs)) : defaultMs;
+    const waitMs = Math.min(...activeEndpoints.map((endpoint) => endpoint.getWaitMs(now)));
+    if (activeEndpoints.some(({ limit }) => limit.isInForce())) {
+      return Math.max(defaultMs, Math.min(waitMs, LIMITED_RETRY_AFTER_MAX_MS)) * (1 + random());
+    }
+    return Number.isFinite(waitMs) ? Math.max(defaultMs, waitMs) : defaultMs;
   }
 
   private isRetryAllowed(failure: AttemptFailure): boolean {
--- a/src/gateway/forward/endpointAttempt.ts
+++ b/src/gateway/forward/endpointAttempt.ts
@@ -7,6 +7,7 @@
 import type { ResponseMetadata, HeaderCodec } from '../../types/gateway.js';
 import type { GatewayCall } from '../call.js';
 import type { EndpointDirectory, EndpointInstance } from '../endpointDirectory.js';
+import type { LimitController } from '../limits/limitController.js';
 import {
   discardResponse,
   readResponseBody,
@@ -30,6 +31,7 @@
   readonly codec: HeaderCodec;
   readonly directory: EndpointDirectory;
   readonly poison: PoisonController;
+  readonly limits: LimitController;
   readonly agent: Agent;
   /** Shared by all attempts. */
   readonly responseMemory: MemoryBudget;
@@ -75,6 +77,7 @@
     // A stream that resumes was answered by the endpoint before.
     this.isAnswered = options.stream?.hasSentEvents() ?? false;
     this.sentAt = timers.now();
+    endpoint.limit.take(this.sentAt);
     endpoint.inFlight += 1;
     endpoint.pendingPrefillTokens += this.promptTokens;
     this.endpointCall = new EndpointCall({
@@ -168,7 +171,7 @@
   }
 
   private processResponse(response: IncomingResponse): Promise<AttemptResult> {
-    const { codec, call, endpoint, directory, timers } = this.options;
+    const { codec, call, endpoint, directory, timers, limits } = this.options;
     const { message } = response;
     const status = message.statusCode ?? 0;
     const metadata = codec.readResponse(call.metadata.id, status, message.rawHeaders);
@@ -176,6 +179,12 @@
       return this.abortAndFail('crossed', `status ${status}`);
     }
     this.applyEndpointSignals(metadata);
+    const { limit } = metadata;
+    limits.recordResponse(endpoint, {
+      limit,
+      isSuccess: isSuccess(metadata) && metadata.isGenuine,
+      sentAt: this.sentAt,
+    });
     if (metadata.isNotRun) {
       discardResponse(message, timers);
       if (metadata.isWrongEndpoint) {
--- a/src/gateway/gateway.ts
+++ b/src/gateway/gateway.ts
@@ -37,6 +37,7 @@
 import { MatchRoute } from './filters/matchRoute.js';
 import { RejectPoison } from './filters/rejectPoison.js';
 import { GatewayServer } from './gatewayServer.js';
+import { LimitController } from './limits/limitController.js';
 import { getOutageGraceMs } from './outageGrace.js';
 import { PeerSync } from './peerSync.js';
 
@@ -103,6 +104,8 @@
 
   private readonly peerSync: PeerSync;
 
+  private readonly limits: LimitController;
+
   private readonly peerServer: PeerServer;
 
   private readonly peerClient: PeerClient;
@@ -137,6 +140,7 @@
     this.endpointReader = this.createEndpointReader();
     this.poison = this.createPoisonController();
     this.peerSync = this.createPeerSync();
+    this.limits = this.createLimitController();
     this.forwardFilter = this.createForwardFilter();
     this.filters = [
       new MatchRoute({ getConfig: () => this.config.getActive(), random: this.getRandom() }),
@@ -186,6 +190,7 @@
       logFailedStop,
     );
     this.peerSync.stop();
+    this.limits.stop();
     this.poison.stop();
     this.loadController.stop();
     this.configReader.stop();
@@ -360,6 +365,20 @@
     });
   }
 
+  private createLimitController(): LimitController {
+    const { timers, logger, deployment } = this.options;
+    return new LimitController({
+      timers,
+      logger,
+      client: this.peerClient,
+      directory: this.directory,
+      vm: deployment.vm,
+      getFleet: () => [...this.shards[0]!.ledger.holders.keys()],
+      getPeers: () => this.getPeers(),
+      random: this.getRandom(),
+    });
+  }
+
   private createForwardFilter(): ForwardCall {
     const { timers, logger, metrics, platform, deployment } = this.options;
     return new ForwardCall({
@@ -369,6 +388,7 @@
       codec: platform.codec,
       directory: this.directory,
       poison: this.poison,
+      limits: this.limits,
       availabilityZone: deployment.availabilityZone,
       retryWindowMs: deployment.retryWindowMs,
       retryRatio: deployment.retryRatio,
@@ -388,6 +408,7 @@
       'escrow.extend': (request) => witness.record(request),
       'escrow.extended': (query) => witness.fence(query),
       ...this.poison.createPeerHandlers(),
+      'gateway.limits': (request) => this.limits.exchange(request),
       'gateway.state': (request) => this.peerSync.createStateResponse(request),
     });
   }
--- a/src/types/gateway.ts
+++ b/src/types/gateway.ts
@@ -155,6 +155,13 @@
   readonly bodyBytes: number;
 }
 
+/** What the head of a response says about the calls that the endpoint takes from all gateways together. */
+export type NamedLimit =
+  | { readonly kind: 'none' }
+  | { readonly kind: 'named'; readonly perSecond: number }
+  /** The value can't be used; the response neither names a limit nor shows that one has ended. */
+  | { readonly kind: 'malformed' };
+
 /** Metadata from the head of an endpoint's response. */
 export interface ResponseMetadata {
   readonly status: number;
@@ -172,6 +179,7 @@
   readonly isLeaving: boolean;
   /** Time for which the endpoint requests no calls from this vm, in milliseconds; `undefined` if not stated. */
   readonly retryAfterMs: number | undefined;
+  readonly limit: NamedLimit;
   /** Names of headers that could not be parsed. */
   readonly malformed: readonly string[];
   /** Headers to forward to the caller, alternating between name and value. */
--- a/src/types/peers.ts
+++ b/src/types/peers.ts
@@ -92,6 +92,21 @@
   readonly config: string | undefined;
 }
 
+/** What a gateway knows of the limit that an endpoint named. */
+export interface EndpointLimitWord {
+  readonly endpoint: VmId;
+  readonly startedAtMs: number;
+  /** Calls per second that the endpoint takes from all gateways together; missing if it names no limit any more. */
+  readonly limitPerSecond?: number | undefined;
+  /** Time since a gateway received the response that showed it, in milliseconds. */
+  readonly ageMs: number;
+}
+
+/** The words of one gateway about the limits of endpoints. */
+export interface LimitExchange {
+  readonly words: readonly EndpointLimitWord[];
+}
+
 /** The calls of one gateway that a crash of their endpoint broke off. */
 export interface CrashReport {
   readonly crash: CrashId;
@@ -145,6 +160,7 @@
   'budget.hold': { params: PeerHoldRequest; result: PeerHoldResponse };
   'budget.settle': { params: PeerSettlement; result: { isKnown: boolean } };
   'gateway.state': { params: GatewayStateRequest; result: GatewayStateResponse };
+  'gateway.limits': { params: LimitExchange; result: LimitExchange };
   'crash.report': { params: CrashReport; result: { isAccepted: boolean } };
   'crash.survey': { params: CrashSurvey; result: CrashSurveyResponse };
   'escrow.extend': { params: ExtensionRequest; result: ExtensionResponse };
--- a/tests/gateway/endpointLimits.test.ts
+++ b/tests/gateway/endpointLimits.test.ts
@@ -210,6 +210,26 @@
   });
 });
 
+test('an endpoint whose entry has expired and come back, or has moved, keeps its limit', () => {
+  const timers = new VirtualTimers();
+  const directory = new EndpointDirectory({
+    logger: createLogger({ level: 'error', format: 'json' }),
+    timers,
+  });
+  const isEligible = () => directory.getEndpoints(SERVICE)[0]!.isEligible(timers.now());
+  directory.apply(entry, brandId(1));
+  const rank = { rank: 0, fleetSize: 9 };
+  const word = { limitPerSecond: 3, observedAt: timers.now() };
+  directory.get(entry.id)!.limit.apply(word, () => rank, timers.now());
+  directory.remove(entry.id, brandId(2));
+  directory.apply({ ...entry, sequence: 2 }, brandId(3));
+  expect(isEligible()).toEqual(false);
+  directory.apply({ ...entry, sequence: 3, port: 81 }, brandId(4));
+  expect(isEligible()).toEqual(false);
+  directory.apply({ ...entry, startedAtMs: 200 }, brandId(5));
+  expect(isEligible()).toEqual(true);
+});
+
 test('a gateway that the fleet does not list yet has no part', () => {
   expect(getRateShare(3, getGatewayRank('e', 'new', ['vm-1']))).toEqual({
     ratePerSecond: 0,
--- a/tests/gateway/endpointSignals.test.ts
+++ b/tests/gateway/endpointSignals.test.ts
@@ -1,3 +1,4 @@
+import type { IncomingMessage, ServerResponse } from 'node:http';
 import { test } from 'node:test';
 import { expect } from 'earl';
 import { brandId } from '../../src/types/ids.js';
@@ -119,3 +120,101 @@
     expect(endpointInstance!.pausedUntil).toEqual(0);
   });
 });
+
+// Failure: an endpoint that had named a limit got as many calls as before.
+test(
+  'an endpoint that names a limit gets no more calls, on any route and for any reason',
+  TIMEOUT,
+  async (context) => {
+    const fleet = await GatewayFleet.start(context);
+    await fleet.configure([createRoute('/a/', repeatable), createRoute('/s/', stream)]);
+    const endpoint = await fleet.addEndpoint('e1', (message, response) => {
+      response.setHeader('server-limit', '0.5');
+      if (message.url === '/s/x') {
+        sendEvents(message, response, [1]);
+        response.end();
+      } else {
+        sendResponse(message, response, 'limited');
+      }
+    });
+    expect((await fleet.call('/a/x')).headers['server-limit']).toEqual('0.5');
+    const startedAt = fleet.now();
+    const refusals = await Promise.all(
+      ['/a/x', '/s/x', '/a/x', '/s/x'].map((path) => fleet.call(path)),
+    );
+    expect(refusals.map(({ status }) => status)).toEqual([503, 503, 503, 503]);
+    const retryAfter = refusals.map(({ headers }) => Number(headers['retry-after']));
+    expect(retryAfter.every((seconds) => seconds >= 0.5 && seconds <= 2)).toEqual(true);
+    expect(new Set(retryAfter).size).toBeGreaterThan(1);
+    expect(fleet.now() - startedAt).toBeLessThan(1_000);
+    expect(endpoint.calls.length).toEqual(1);
+  },
+);
+
+test(
+  'a call goes to an endpoint without a limit, and a retry is not sent beyond one',
+  TIMEOUT,
+  async (context) => {
+    const fleet = await GatewayFleet.start(context);
+    await fleet.configure([createRoute('/a/', repeatable)]);
+    const limited = await fleet.addEndpoint('limited', (message, response) => {
+      response.setHeader('server-limit', '0');
+      sendResponse(message, response, 'limited');
+    });
+    await fleet.call('/a/x');
+    const refusing = await fleet.addEndpoint('refusing', (_, response) => {
+      response.writeHead(503, { 'shallotrock-not-executed': '1' }).end();
+    });
+    expect((await fleet.call('/a/x')).status).toEqual(503);
+    expect([limited.calls.length, refusing.calls.length]).toEqual([1, 1]);
+  },
+);
+
+test(
+  'a limit ends with a successful response that names none, not with a refusal or a value that cannot be used',
+  TIMEOUT,
+  async (context) => {
+    const fleet = await GatewayFleet.start(context);
+    await fleet.configure([createRoute('/a/')]);
+    const heads: ((response: ServerResponse, message: IncomingMessage) => void)[] = [
+      (response, message) => {
+        response.setHeader('server-limit', '4');
+        sendResponse(message, response, 'named');
+      },
+      (response) => {
+        response.writeHead(503, { 'shallotrock-not-executed': '1' }).end();
+      },
+      (response, message) => {
+        response.setHeader('server-limit', 'many');
+        sendResponse(message, response, 'malformed');
+      },
+      (response, message) => sendResponse(message, response, 'ended'),
+    ];
+    await fleet.addEndpoint('e1', (message, response) => heads.shift()!(response, message));
+    const [endpoint] = fleet.gateway.directory.getEndpoints(fleet.service);
+    const states: boolean[] = [];
+    while (heads.length > 0) {
+      const left = heads.length;
+      await fleet.call('/a/x');
+      if (heads.length < left) {
+        states.push(endpoint!.limit.isInForce());
+      }
+    }
+    expect(states).toEqual([true, true, true, false]);
+  },
+);
+
+test('another start of an endpoint has no limit', TIMEOUT, async (context) => {
+  const fleet = await GatewayFleet.start(context);
+  await fleet.configure([createRoute('/a/')]);
+  const endpoint = await fleet.addEndpoint('e1', (message, response) => {
+    response.setHeader('server-limit', '0');
+    sendResponse(message, response, 'limited');
+  });
+  await fleet.call('/a/x');
+  const [entry] = fleet.gateway.directory.getEntries();
+  const { offset } = entry!;
+  fleet.gateway.directory.apply({ ...entry!, startedAtMs: 2 }, brandId(offset + 1));
+  expect((await fleet.call('/a/x')).status).toEqual(200);
+  expect(endpoint.calls.length).toEqual(2);
+});
--- a/tests/platform/codecs.test.ts
+++ b/tests/platform/codecs.test.ts
@@ -244,3 +244,37 @@
   const syntax = decodeSettings('a = [');
   expect(syntax.err).toEqual(true);
 });
+
+const NUMBER_LIMITS: readonly (readonly [value: string, perSecond: number])[] = [
+  ['4.6', 4.6],
+  [' 3 ', 3],
+  ['0', 0],
+  ['0.25', 0.25],
+  ['999999999999999', 999_999_999_999_999],
+];
+
+test('a limit of an endpoint is a decimal number of calls a second', () => {
+  NUMBER_LIMITS.forEach(([value, perSecond]) => {
+    const { limit } = codec.readResponse('c', 200, ['Server-Limit', value]);
+    expect(limit).toEqual({ kind: 'named', perSecond });
+  });
+  expect(codec.readResponse('c', 200, []).limit).toEqual({ kind: 'none' });
+  expect(codec.readResponse('c', 200, ['Server-Limit', '3', 'server-limit', '3']).limit).toEqual({
+    kind: 'named',
+    perSecond: 3,
+  });
+});
+
+['', '-1', 'none', 'NaN', 'Infinity', '1e30', '1,5', '0x10', '3;q=1', '1'.repeat(400)].forEach(
+  (value) =>
+    test(`a limit of '${value.slice(0, 20)}' is malformed`, () => {
+      const { limit, malformed } = codec.readResponse('c', 200, ['Server-Limit', value]);
+      expect(limit).toEqual({ kind: 'malformed' });
+      expect(malformed).toEqual(['server-limit']);
+    }),
+);
+
+test('two limits that contradict each other are malformed', () => {
+  const headers = ['Server-Limit', '3', 'Server-Limit', '5'];
+  expect(codec.readResponse('c', 200, headers).limit).toEqual({ kind: 'malformed' });
+});
