Order the words about limits by version instead of age

Gateways that had heard of the end of a limit took it back when a peer's older word arrived late: a word carried the time since its response, so each transfer made it look younger by its own delay, and words that go round a slow fleet never grew old. Callers were refused, or sent to the other endpoints, while the endpoint took calls again.

A word now has a version, one more than that of the word that the gateway knew when the response came. It needs no clock and does not change on the way; of two words with one version the stricter counts. The new test fails on the commit before (the limit is in force again) and passes now.

--- a/src/gateway/limits/endpointLimit.ts
+++ b/src/gateway/limits/endpointLimit.ts
@@ -5,9 +5,9 @@
 /** What a response of the endpoint showed. */
 export interface LimitWord {
   /** `undefined` if the endpoint named no limit any more. */
-  readonly limitPerSecond: number | undefined;
-  /** When a gateway received the response. */
-  readonly observedAt: number;
+  readonly limitPerSecond?: number | undefined;
+  /** One more than that of the word that the gateway knew when it received the response; clocks of gateways can't be compared. */
+  readonly version: number;
 }
 
 /** A gateway without a part may send a call when no response has confirmed the limit for this time. */
@@ -26,6 +26,8 @@
 
   private rankedAt = 0;
 
+  private appliedAt = 0;
+
   private lastProbeAt = Number.NEGATIVE_INFINITY;
 
   /** Returns the newest word, or `undefined` if the endpoint has never named a limit. */
@@ -43,12 +45,23 @@
     return this.rank;
   }
 
+  /** Returns when the newest word was applied. */
+  getAppliedAt(): number {
+    return this.appliedAt;
+  }
+
+  /** Returns the word of a response that this gateway has received. */
+  createWord(limitPerSecond: number | undefined): LimitWord {
+    return { limitPerSecond, version: (this.word?.version ?? 0) + 1 };
+  }
+
   /** Applies a word unless it is older than the known one. */
   apply(word: LimitWord, getRank: () => GatewayRank, nowMs: number): void {
-    if (this.word && word.observedAt <= this.word.observedAt) {
+    if (this.word && !isNewer(word, this.word)) {
       return;
     }
     this.word = word;
+    this.appliedAt = nowMs;
     if (word.limitPerSecond === undefined) {
       this.bucket = undefined;
       return;
@@ -74,7 +87,7 @@
   take(nowMs: number): void {
     if (this.bucket?.hasToken(nowMs)) {
       this.bucket.take(nowMs);
-    } else {
+    } else if (this.bucket) {
       this.lastProbeAt = nowMs;
     }
   }
@@ -88,7 +101,14 @@
 
   private getProbeAt(): number {
     const { rank, fleetSize } = this.rank;
-    const confirmedAt = Math.max(this.word?.observedAt ?? 0, this.lastProbeAt);
+    const confirmedAt = Math.max(this.appliedAt, this.lastProbeAt);
     return confirmedAt + CONFIRMATION_MS + (rank ?? fleetSize) * PROBE_INTERVAL_MS;
   }
 }
+
+/** Of two words with one version, from gateways that didn't know each other's, the stricter one counts. */
+function isNewer(word: LimitWord, known: LimitWord): boolean {
+  const { limitPerSecond = Number.POSITIVE_INFINITY, version } = word;
+  const { limitPerSecond: knownLimit = Number.POSITIVE_INFINITY } = known;
+  return version > known.version || (version === known.version && limitPerSecond < knownLimit);
+}
--- a/src/gateway/limits/limitController.ts
+++ b/src/gateway/limits/limitController.ts
@@ -56,17 +56,16 @@
 
   /** Applies what a response shows. */
   recordResponse(endpoint: EndpointInstance, observation: LimitObservation): void {
-    const { limit, isSuccess, sentAt } = observation;
-    const observedAt = this.options.timers.now();
-    if (limit.kind === 'named') {
-      this.apply(endpoint, { limitPerSecond: limit.perSecond, observedAt }, 'response');
+    const { limit: named, isSuccess, sentAt } = observation;
+    const { limit } = endpoint;
+    if (named.kind === 'named') {
+      this.apply(endpoint, limit.createWord(named.perSecond), 'response');
       return;
     }
     // The response to a call that was sent before the limit was named may have overtaken the one that named it.
-    const namedAt = endpoint.limit.getWord()?.observedAt ?? Number.POSITIVE_INFINITY;
-    const hasEnded = endpoint.limit.isInForce() && isSuccess && sentAt >= namedAt;
-    if (limit.kind === 'none' && hasEnded) {
-      this.apply(endpoint, { limitPerSecond: undefined, observedAt }, 'response');
+    const hasEnded = limit.isInForce() && isSuccess && sentAt >= limit.getAppliedAt();
+    if (named.kind === 'none' && hasEnded) {
+      this.apply(endpoint, limit.createWord(undefined), 'response');
     }
   }
 
@@ -78,12 +77,10 @@
   }
 
   private merge(words: readonly EndpointLimitWord[]): void {
-    const { directory, timers } = this.options;
-    const now = timers.now();
-    words.forEach(({ endpoint: id, startedAtMs, limitPerSecond, ageMs }) => {
-      const endpoint = directory.get(id);
+    words.forEach(({ endpoint: id, startedAtMs, ...word }) => {
+      const endpoint = this.options.directory.get(id);
       if (endpoint?.entry.startedAtMs === startedAtMs) {
-        this.apply(endpoint, { limitPerSecond, observedAt: now - ageMs }, 'peer');
+        this.apply(endpoint, word, 'peer');
       }
     });
   }
@@ -104,19 +101,11 @@
 
   private createWords(): EndpointLimitWord[] {
     const { directory, timers } = this.options;
-    const now = timers.now();
-    return directory.getInstances().flatMap(({ entry, limit }) => {
+    const oldestAppliedAt = timers.now() - ENDED_WORD_LIFETIME_MS;
+    return directory.getInstances().flatMap(({ entry: { id, startedAtMs }, limit }) => {
       const word = limit.getWord();
-      const ageMs = word && now - word.observedAt;
-      return word && (limit.isInForce() || ageMs! < ENDED_WORD_LIFETIME_MS)
-        ? [
-            {
-              endpoint: entry.id,
-              startedAtMs: entry.startedAtMs,
-              limitPerSecond: word.limitPerSecond,
-              ageMs: ageMs!,
-            },
-          ]
+      return word && (limit.isInForce() || limit.getAppliedAt() > oldestAppliedAt)
+        ? [{ endpoint: id, startedAtMs, ...word }]
         : [];
     });
   }
--- a/src/types/peers.ts
+++ b/src/types/peers.ts
@@ -98,8 +98,8 @@
   readonly startedAtMs: number;
   /** Calls per second that the endpoint takes from all gateways together; missing if it names no limit any more. */
   readonly limitPerSecond?: number | undefined;
-  /** Time since a gateway received the response that showed it, in milliseconds. */
-  readonly ageMs: number;
+  /** A word with a higher version is newer. */
+  readonly version: number;
 }
 
 /** The words of one gateway about the limits of endpoints. */
--- a/tests/gateway/endpointLimits.test.ts
+++ b/tests/gateway/endpointLimits.test.ts
@@ -54,7 +54,7 @@
 
   private readonly random: () => number;
 
-  private readonly gateways: {
+  readonly gateways: {
     readonly directory: EndpointDirectory;
     readonly limits: LimitController;
     toldAt: number;
@@ -197,6 +197,28 @@
   fleet.stop();
 });
 
+test('an older word that a peer tells late does not bring back a limit that has ended', async () => {
+  const fleet = new LimitFleet({ size: 2, seed: 7, demandPerSecond: 0 });
+  const [told, other] = fleet.gateways;
+  const record = (limit: NamedLimit) =>
+    told!.limits.recordResponse(told!.directory.get(entry.id)!, {
+      limit,
+      isSuccess: true,
+      sentAt: fleet.timers.now(),
+    });
+  record({ kind: 'named', perSecond: 3 });
+  other!.limits.exchange(told!.limits.exchange({ words: [] }));
+  const late = other!.limits.exchange({ words: [] });
+  await fleet.timers.advance(100);
+  record({ kind: 'none' });
+  await fleet.timers.advance(300);
+  told!.limits.exchange(late);
+  await fleet.timers.advance(1_000);
+  expect(told!.directory.get(entry.id)!.limit.isInForce()).toEqual(false);
+  expect(other!.directory.get(entry.id)!.limit.isInForce()).toEqual(false);
+  fleet.stop();
+});
+
 test('the parts of all gateways add up to the limit, and what they hold ready stays within the tolerance', () => {
   const fleet = Array.from({ length: 86 }, (_, index) => `vm-${index}`);
   [0.3, 1, 1.7, 5, 50, 1_000].forEach((limitPerSecond) => {
@@ -219,7 +241,7 @@
   const isEligible = () => directory.getEndpoints(SERVICE)[0]!.isEligible(timers.now());
   directory.apply(entry, brandId(1));
   const rank = { rank: 0, fleetSize: 9 };
-  const word = { limitPerSecond: 3, observedAt: timers.now() };
+  const word = { limitPerSecond: 3, version: 1 };
   directory.get(entry.id)!.limit.apply(word, () => rank, timers.now());
   directory.remove(entry.id, brandId(2));
   directory.apply({ ...entry, sequence: 2 }, brandId(3));
