Send calls to endpoints that have room below their limits first

Each gateway sees a small part of the load, so an endpoint without a limit looks idle to it, and the one that has a prompt's parts cached was nearly always chosen; a part of a limit that is not used at once is lost.

While a gateway holds a part of a limit ready, the choice is now among such endpoints.

--- a/src/gateway/filters/forwardCall.ts
+++ b/src/gateway/filters/forwardCall.ts
@@ -241,7 +241,9 @@
       .getEndpoints(service)
       .filter((endpoint) => !this.triedEndpoints.has(endpoint) && endpoint.isEligible(now));
     const available = eligible.filter((endpoint) => endpoint.isAvailable(now));
-    const candidates = available.length > 0 ? available : eligible;
+    // A call that an endpoint with a limit could take now and does not get is lost to it; the others get all the more.
+    const limited = available.filter(({ limit }) => limit.isInForce());
+    const candidates = [limited, available, eligible].find((each) => each.length > 0) ?? [];
     const index = choosePlacement(
       candidates.map(({ entry, inFlight, pendingPrefillTokens }) => ({
         id: entry.id,
--- a/tests/gateway/endpointSignals.test.ts
+++ b/tests/gateway/endpointSignals.test.ts
@@ -218,3 +218,25 @@
   expect((await fleet.call('/a/x')).status).toEqual(200);
   expect(endpoint.calls.length).toEqual(2);
 });
+
+test(
+  'a call goes first to an endpoint that has room below its limit, and to the others beyond it',
+  TIMEOUT,
+  async (context) => {
+    const fleet = await GatewayFleet.start(context);
+    await fleet.configure([createRoute('/a/')]);
+    const limited = await fleet.addEndpoint('limited', (message, response) => {
+      response.setHeader('server-limit', '2');
+      sendResponse(message, response, 'limited');
+    });
+    await fleet.call('/a/x');
+    const other = await fleet.addEndpoint('other', (message, response) =>
+      sendResponse(message, response, 'other'),
+    );
+    const [endpoint] = fleet.gateway.directory.getEndpoints(fleet.service);
+    await fleet.waitFor(() => endpoint!.isEligible(fleet.now()));
+    expect((await fleet.call('/a/x')).body).toEqual('limited');
+    expect((await fleet.call('/a/x')).body).toEqual('other');
+    expect([limited.calls.length, other.calls.length]).toEqual([2, 1]);
+  },
+);
