Begin anew for a later start that is read after its removal

An endpoint that was removed by a peer's listing kept its instance; if the entry of a later start was read after that, it took over the pause and the circuit breaker of the earlier one, and would have got no calls for that time once it came back. Found by reading the change once more. A later start now gets an instance of its own. The new test fails before.

--- a/src/gateway/endpointDirectory.ts
+++ b/src/gateway/endpointDirectory.ts
@@ -303,10 +303,9 @@
     origin: EntryOrigin,
   ): void {
     const { id, startedAtMs, sequence } = entry;
-    if (!isOlder(entry, removed)) {
-      removed.isLeaving =
-        entry.state === 'leaving' ||
-        (removed.isLeaving && startedAtMs === removed.entry.startedAtMs);
+    if (startedAtMs > removed.entry.startedAtMs) {
+      this.removed.set(id, new EndpointInstance(entry, removed.offset));
+    } else if (!isOlder(entry, removed)) {
       removed.entry = entry;
     }
     const fields = { endpoint: id, startedAtMs, sequence, origin, offset };
--- a/tests/reports/leftEndpointUsedAgain.test.ts
+++ b/tests/reports/leftEndpointUsedAgain.test.ts
@@ -155,6 +155,17 @@
   expect(directory.getEndpoints(SERVICE).map(({ pausedUntil }) => pausedUntil)).toEqual([0]);
 });
 
+test('a later start that is read after its removal was heard of has no pause of the earlier one', () => {
+  const directory = createDirectory();
+  directory.apply(entry, at(1));
+  directory.applyRetryAfter(directory.getEndpoints(SERVICE)[0]!, 60_000);
+  directory.merge({ nextOffset: at(5), endpoints: [] });
+  directory.apply({ ...entry, startedAtMs: 200 }, at(3));
+  expect(getUsedIds(directory)).toEqual([]);
+  directory.apply({ ...entry, startedAtMs: 200, sequence: 2 }, at(6));
+  expect(directory.getEndpoints(SERVICE).map(({ pausedUntil }) => pausedUntil)).toEqual([0]);
+});
+
 test('a listing that is older than what was read neither adds nor removes endpoints', () => {
   const directory = createDirectory();
   directory.apply(entry, at(1));
