--- a/src/gateway/filters/forwardCall.ts
+++ b/src/gateway/filters/forwardCall.ts
@@ -11,7 +11,8 @@
 import type { HeaderCodec } from '../../types/gateway.js';
 import type { ServiceName } from '../../types/ids.js';
 import type { GatewayCall } from '../call.js';
-import type { EndpointDirectory, EndpointInstance } from '../endpointDirectory.js';
+import type { EndpointDirectory } from '../endpointDirectory.js';
+import type { EndpointInstance } from '../endpointInstance.js';
 import { EndpointAgent } from '../forward/endpointAgent.js';
 import {
   EndpointAttempt,
--- a/src/gateway/forward/endpointAttempt.ts
+++ b/src/gateway/forward/endpointAttempt.ts
@@ -6,7 +6,8 @@
 import type { PoisonController } from '../../poison/poisonController.js';
 import type { ResponseMetadata, HeaderCodec } from '../../types/gateway.js';
 import type { GatewayCall } from '../call.js';
-import type { EndpointDirectory, EndpointInstance } from '../endpointDirectory.js';
+import type { EndpointDirectory } from '../endpointDirectory.js';
+import type { EndpointInstance } from '../endpointInstance.js';
 import type { LimitController } from '../limits/limitController.js';
 import {
   discardResponse,
--- a/src/gateway/limits/limitController.ts
+++ b/src/gateway/limits/limitController.ts
@@ -9,7 +9,8 @@
 import type { NamedLimit } from '../../types/gateway.js';
 import type { VmId } from '../../types/ids.js';
 import type { EndpointLimitWord, LimitExchange, PeerClient } from '../../types/peers.js';
-import type { EndpointDirectory, EndpointInstance } from '../endpointDirectory.js';
+import type { EndpointDirectory } from '../endpointDirectory.js';
+import type { EndpointInstance } from '../endpointInstance.js';
 import type { LimitWord } from './endpointLimit.js';
 import { getGatewayRank } from './rateShare.js';
 
