--- a/tests/gateway/decisions.test.ts
+++ b/tests/gateway/decisions.test.ts
@@ -15,8 +15,9 @@
 import { isRetryAllowed, type RetryContext } from '../../src/gateway/forward/retryPolicy.js';
 import { choosePlacement, type PlacementCandidate } from '../../src/gateway/placement.js';
 import { chooseService, RouteTable } from '../../src/gateway/routeTable.js';
-import type { EndpointEntry, Route } from '../../src/types/gateway.js';
+import type { Route } from '../../src/types/gateway.js';
 import { brandId, type Offset, type ServiceName } from '../../src/types/ids.js';
+import { createEndpointEntry } from '../support/endpointEntries.js';
 
 const logger = createLogger({ level: 'error' });
 
@@ -279,18 +280,7 @@
   expect(tokensPerSecond).toBeLessThan(1_150);
 });
 
-const entry: EndpointEntry = {
-  id: brandId('e'),
-  startedAtMs: 100,
-  sequence: 2,
-  service: brandId('s'),
-  host: '127.0.0.1',
-  port: 80,
-  availabilityZone: brandId('z'),
-  slots: 4,
-  state: 'ready',
-  warmupMs: 0,
-};
+const entry = createEndpointEntry({ sequence: 2 });
 
 function at(offset: number): Offset {
   return brandId<Offset>(offset);
--- a/tests/gateway/endpointLimits.test.ts
+++ b/tests/gateway/endpointLimits.test.ts
@@ -8,30 +8,19 @@
 import { EndpointDirectory } from '../../src/gateway/endpointDirectory.js';
 import { LimitController } from '../../src/gateway/limits/limitController.js';
 import { getGatewayRank, getRateShare } from '../../src/gateway/limits/rateShare.js';
-import type { EndpointEntry, NamedLimit } from '../../src/types/gateway.js';
-import { brandId, type ServiceName, type VmId } from '../../src/types/ids.js';
+import type { NamedLimit } from '../../src/types/gateway.js';
+import { brandId, type VmId } from '../../src/types/ids.js';
+import { createEndpointEntry, ENTRY_SERVICE } from '../support/endpointEntries.js';
 import { FakeNetwork, FakePeerClient } from '../support/fakePeers.js';
 import { PausableTimers } from '../support/pausableTimers.js';
 
-const SERVICE: ServiceName = brandId('s');
 const WINDOW_MS = 4_000;
 const TOLD_MS = 500;
 const STABLE_MS = 3_000;
 const STEP_MS = 10;
 const USE_MS = 40_000;
 
-const entry: EndpointEntry = {
-  id: brandId('e'),
-  startedAtMs: 100,
-  sequence: 1,
-  service: SERVICE,
-  host: '127.0.0.1',
-  port: 80,
-  availabilityZone: brandId('z'),
-  slots: 4,
-  state: 'ready',
-  warmupMs: 0,
-};
+const entry = createEndpointEntry();
 
 interface LimitFleetOptions {
   readonly size: number;
@@ -117,7 +106,7 @@
   private sendCalls(index: number): void {
     const { timers, random, options } = this;
     const gateway = this.gateways[index]!;
-    const [endpoint] = gateway.directory.getEndpoints(SERVICE);
+    const [endpoint] = gateway.directory.getEndpoints(ENTRY_SERVICE);
     const isWanted = random() < (options.demandPerSecond * STEP_MS) / 1_000;
     if (!isWanted || !endpoint!.isEligible(timers.now())) {
       return;
@@ -238,7 +227,7 @@
     logger: createLogger({ level: 'error', format: 'json' }),
     timers,
   });
-  const isEligible = () => directory.getEndpoints(SERVICE)[0]!.isEligible(timers.now());
+  const isEligible = () => directory.getEndpoints(ENTRY_SERVICE)[0]!.isEligible(timers.now());
   directory.apply(entry, brandId(1));
   const rank = { rank: 0, fleetSize: 9 };
   const word = { limitPerSecond: 3, version: 1 };
--- a/tests/gateway/peerSync.test.ts
+++ b/tests/gateway/peerSync.test.ts
@@ -7,25 +7,12 @@
 import { EndpointDirectory } from '../../src/gateway/endpointDirectory.js';
 import { PeerSync } from '../../src/gateway/peerSync.js';
 import { PatternList } from '../../src/poison/patternList.js';
-import type { EndpointEntry } from '../../src/types/gateway.js';
-import { brandId, type Offset, type ServiceName, type VmId } from '../../src/types/ids.js';
+import { brandId, type Offset, type VmId } from '../../src/types/ids.js';
+import { createEndpointEntry, ENTRY_SERVICE } from '../support/endpointEntries.js';
 import { FakeNetwork, FakePeerClient } from '../support/fakePeers.js';
 import { PausableTimers } from '../support/pausableTimers.js';
 
-const SERVICE: ServiceName = brandId('s');
-
-const entry: EndpointEntry = {
-  id: brandId('e'),
-  startedAtMs: 100,
-  sequence: 9,
-  service: SERVICE,
-  host: '127.0.0.1',
-  port: 80,
-  availabilityZone: brandId('z'),
-  slots: 4,
-  state: 'ready',
-  warmupMs: 0,
-};
+const entry = createEndpointEntry({ sequence: 9 });
 
 function at(offset: number): Offset {
   return brandId<Offset>(offset);
@@ -67,7 +54,7 @@
 }
 
 function isUsed(directory: EndpointDirectory): boolean {
-  return directory.getEndpoints(SERVICE).some((endpoint) => endpoint.isEligible(0));
+  return directory.getEndpoints(ENTRY_SERVICE).some((endpoint) => endpoint.isEligible(0));
 }
 
 // Failure: a gateway that starts takes the last entry in the store for the state of an endpoint that has left.
--- a/tests/reports/leftEndpointUsedAgain.test.ts
+++ b/tests/reports/leftEndpointUsedAgain.test.ts
@@ -5,26 +5,14 @@
 import { createLogger } from '../../src/core/logging.js';
 import { VirtualTimers } from '../../src/core/timers.js';
 import { EndpointDirectory } from '../../src/gateway/endpointDirectory.js';
-import type { EndpointEntry } from '../../src/types/gateway.js';
-import { brandId, type Offset, type ServiceName, type VmId } from '../../src/types/ids.js';
+import { brandId, type Offset, type VmId } from '../../src/types/ids.js';
+import { createEndpointEntry, ENTRY_SERVICE } from '../support/endpointEntries.js';
 import { EndpointLog, type LogStep } from '../support/endpointLog.js';
 
-const SERVICE: ServiceName = brandId('s');
 const ID: VmId = brandId('e');
 const GRACE_MS = 2_000;
 
-const entry: EndpointEntry = {
-  id: ID,
-  startedAtMs: 100,
-  sequence: 1,
-  service: SERVICE,
-  host: '127.0.0.1',
-  port: 80,
-  availabilityZone: brandId('z'),
-  slots: 4,
-  state: 'ready',
-  warmupMs: 0,
-};
+const entry = createEndpointEntry();
 
 function at(offset: number): Offset {
   return brandId<Offset>(offset);
@@ -40,7 +28,7 @@
 /** Returns the ids of the endpoints that get calls. */
 function getUsedIds(directory: EndpointDirectory): string[] {
   return directory
-    .getEndpoints(SERVICE)
+    .getEndpoints(ENTRY_SERVICE)
     .filter((endpoint) => endpoint.isEligible(0))
     .map(({ entry: { id } }) => id)
     .sort();
@@ -89,13 +77,13 @@
 test('a response that shows an endpoint to be leaving counts after its removal, and for its own start only', () => {
   const directory = createDirectory();
   directory.apply(entry, at(1));
-  const [first] = directory.getEndpoints(SERVICE);
+  const [first] = directory.getEndpoints(ENTRY_SERVICE);
   directory.remove(ID, at(2));
   directory.markEnded(first!, 'leaving');
   directory.apply({ ...entry, sequence: 7 }, at(3));
   expect(getUsedIds(directory)).toEqual([]);
   directory.apply({ ...entry, startedAtMs: 200, sequence: 1 }, at(4));
-  const [second] = directory.getEndpoints(SERVICE);
+  const [second] = directory.getEndpoints(ENTRY_SERVICE);
   directory.markEnded(second!, 'leaving');
   directory.markEnded(first!, 'leaving');
   directory.remove(ID, at(5));
@@ -107,7 +95,7 @@
   const directory = createDirectory();
   const peer = createDirectory();
   peer.apply(entry, at(1));
-  peer.markEnded(peer.getEndpoints(SERVICE)[0]!, 'leaving');
+  peer.markEnded(peer.getEndpoints(ENTRY_SERVICE)[0]!, 'leaving');
   directory.apply({ ...entry, sequence: 15 }, at(6));
   directory.merge(peer.getListing());
   expect(getUsedIds(directory)).toEqual([]);
@@ -141,29 +129,29 @@
 test('an endpoint whose entry has expired and come back, or has moved, keeps its pause and its calls in flight', () => {
   const directory = createDirectory();
   directory.apply(entry, at(1));
-  const [endpoint] = directory.getEndpoints(SERVICE);
+  const [endpoint] = directory.getEndpoints(ENTRY_SERVICE);
   directory.applyRetryAfter(endpoint!, 60_000);
   endpoint!.inFlight = 3;
   directory.remove(ID, at(2));
   directory.apply({ ...entry, sequence: 15 }, at(3));
-  const [returned] = directory.getEndpoints(SERVICE);
+  const [returned] = directory.getEndpoints(ENTRY_SERVICE);
   expect([returned!.pausedUntil, returned!.inFlight]).toEqual([endpoint!.pausedUntil, 3]);
   directory.apply({ ...entry, sequence: 16, port: 81 }, at(4));
-  const [moved] = directory.getEndpoints(SERVICE);
+  const [moved] = directory.getEndpoints(ENTRY_SERVICE);
   expect(moved!.pausedUntil).toEqual(endpoint!.pausedUntil);
   directory.apply({ ...entry, startedAtMs: 200 }, at(5));
-  expect(directory.getEndpoints(SERVICE).map(({ pausedUntil }) => pausedUntil)).toEqual([0]);
+  expect(directory.getEndpoints(ENTRY_SERVICE).map(({ pausedUntil }) => pausedUntil)).toEqual([0]);
 });
 
 test('a later start that is read after its removal was heard of has no pause of the earlier one', () => {
   const directory = createDirectory();
   directory.apply(entry, at(1));
-  directory.applyRetryAfter(directory.getEndpoints(SERVICE)[0]!, 60_000);
+  directory.applyRetryAfter(directory.getEndpoints(ENTRY_SERVICE)[0]!, 60_000);
   directory.merge({ nextOffset: at(5), endpoints: [] });
   directory.apply({ ...entry, startedAtMs: 200 }, at(3));
   expect(getUsedIds(directory)).toEqual([]);
   directory.apply({ ...entry, startedAtMs: 200, sequence: 2 }, at(6));
-  expect(directory.getEndpoints(SERVICE).map(({ pausedUntil }) => pausedUntil)).toEqual([0]);
+  expect(directory.getEndpoints(ENTRY_SERVICE).map(({ pausedUntil }) => pausedUntil)).toEqual([0]);
 });
 
 test('a listing that is older than what was read neither adds nor removes endpoints', () => {
