Derive whether an endpoint takes a call from the time until it does

EndpointInstance.isEligible and EndpointLimit.isOpen stated the conditions of getWaitMs and getDelayMs a second time, the one for sending a call and the other for the time that a refusal names; a change to one could have contradicted the other. An endpoint is eligible if that time is 0. Nothing else changes.

--- a/src/gateway/endpointInstance.ts
+++ b/src/gateway/endpointInstance.ts
@@ -46,7 +46,7 @@
 
   /** Returns whether a call may be sent to the endpoint at all. */
   isEligible(nowMs: number): boolean {
-    return !this.isLeaving && this.pausedUntil <= nowMs && this.limit.isOpen(nowMs);
+    return !this.isLeaving && this.getWaitMs(nowMs) === 0;
   }
 
   /** Returns the time until the endpoint's own wishes allow a call of this process, in milliseconds. */
--- a/src/gateway/limits/endpointLimit.ts
+++ b/src/gateway/limits/endpointLimit.ts
@@ -78,11 +78,6 @@
     }
   }
 
-  /** Returns whether this gateway may send a call now. */
-  isOpen(nowMs: number): boolean {
-    return !this.bucket || this.bucket.hasToken(nowMs) || nowMs >= this.getProbeAt();
-  }
-
   /** Counts a call that is sent. */
   take(nowMs: number): void {
     if (this.bucket?.hasToken(nowMs)) {
@@ -92,7 +87,7 @@
     }
   }
 
-  /** Returns the time until this gateway may send a call, in milliseconds. */
+  /** Returns the time until this gateway may send a call, in milliseconds; 0 if it may now. */
   getDelayMs(nowMs: number): number {
     return this.bucket
       ? Math.min(this.bucket.getDelayMs(nowMs), Math.max(0, this.getProbeAt() - nowMs))
