Record the limit of a response where its other signals are applied

applyEndpointSignals applies what a head says about its endpoint; the limit was recorded beside it. The order of the steps is the same but for the log line about malformed headers, which now follows.

--- a/src/gateway/forward/endpointAttempt.ts
+++ b/src/gateway/forward/endpointAttempt.ts
@@ -172,7 +172,7 @@
   }
 
   private processResponse(response: IncomingResponse): Promise<AttemptResult> {
-    const { codec, call, endpoint, directory, timers, limits } = this.options;
+    const { codec, call, endpoint, directory, timers } = this.options;
     const { message } = response;
     const status = message.statusCode ?? 0;
     const metadata = codec.readResponse(call.metadata.id, status, message.rawHeaders);
@@ -180,12 +180,6 @@
       return this.abortAndFail('crossed', `status ${status}`);
     }
     this.applyEndpointSignals(metadata);
-    const { limit } = metadata;
-    limits.recordResponse(endpoint, {
-      limit,
-      isSuccess: isSuccess(metadata) && metadata.isGenuine,
-      sentAt: this.sentAt,
-    });
     if (metadata.isNotRun) {
       discardResponse(message, timers);
       if (metadata.isWrongEndpoint) {
@@ -204,14 +198,20 @@
   }
 
   /** Applies what the response headers say about the endpoint, whatever the status. */
-  private applyEndpointSignals({ isLeaving, retryAfterMs, malformed }: ResponseMetadata): void {
-    const { directory, endpoint, logger } = this.options;
+  private applyEndpointSignals(metadata: ResponseMetadata): void {
+    const { isLeaving, retryAfterMs, limit, isGenuine, malformed } = metadata;
+    const { directory, endpoint, limits, logger } = this.options;
     if (isLeaving) {
       directory.markEnded(endpoint, 'leaving');
     }
     if (retryAfterMs !== undefined) {
       directory.applyRetryAfter(endpoint, retryAfterMs);
     }
+    limits.recordResponse(endpoint, {
+      limit,
+      isSuccess: isSuccess(metadata) && isGenuine,
+      sentAt: this.sentAt,
+    });
     if (malformed.length > 0) {
       logger.warn('endpoint sent malformed response headers', {
         endpoint: endpoint.entry.id,
