--- a/tests/gateway/decisions.test.ts
+++ b/tests/gateway/decisions.test.ts
@@ -16,8 +16,8 @@
 import { choosePlacement, type PlacementCandidate } from '../../src/gateway/placement.js';
 import { chooseService, RouteTable } from '../../src/gateway/routeTable.js';
 import type { Route } from '../../src/types/gateway.js';
-import { brandId, type Offset, type ServiceName } from '../../src/types/ids.js';
-import { createEndpointEntry } from '../support/endpointEntries.js';
+import { brandId, type ServiceName } from '../../src/types/ids.js';
+import { at, createEndpointEntry } from '../support/endpointEntries.js';
 
 const logger = createLogger({ level: 'error' });
 
@@ -282,10 +282,6 @@
 
 const entry = createEndpointEntry({ sequence: 2 });
 
-function at(offset: number): Offset {
-  return brandId<Offset>(offset);
-}
-
 function createDirectory(timers = new VirtualTimers()): EndpointDirectory {
   return new EndpointDirectory({ logger, timers });
 }
--- a/tests/gateway/peerSync.test.ts
+++ b/tests/gateway/peerSync.test.ts
@@ -7,17 +7,13 @@
 import { EndpointDirectory } from '../../src/gateway/endpointDirectory.js';
 import { PeerSync } from '../../src/gateway/peerSync.js';
 import { PatternList } from '../../src/poison/patternList.js';
-import { brandId, type Offset, type VmId } from '../../src/types/ids.js';
-import { createEndpointEntry, ENTRY_SERVICE } from '../support/endpointEntries.js';
+import { brandId, type VmId } from '../../src/types/ids.js';
+import { at, createEndpointEntry, ENTRY_SERVICE } from '../support/endpointEntries.js';
 import { FakeNetwork, FakePeerClient } from '../support/fakePeers.js';
 import { PausableTimers } from '../support/pausableTimers.js';
 
 const entry = createEndpointEntry({ sequence: 9 });
 
-function at(offset: number): Offset {
-  return brandId<Offset>(offset);
-}
-
 /** Creates gateways on one network that exchange their state; their stores are read by the test. */
 function createFleet(names: readonly string[]) {
   const timers = new VirtualTimers();
--- a/tests/platform/storeClient.test.ts
+++ b/tests/platform/storeClient.test.ts
@@ -11,6 +11,14 @@
 const IDLE_TIMEOUT_MS = 150;
 const BODY = JSON.stringify({ entries: [], endOffset: 7 });
 
+function createClientOf(port: number): StoreClient {
+  return new StoreClient({
+    address: { host: '127.0.0.1', port },
+    timers: new SystemTimers(),
+    timeoutMs: IDLE_TIMEOUT_MS,
+  });
+}
+
 async function createClient(
   context: TestContext,
   handleRequest: (response: ServerResponse) => void,
@@ -18,12 +26,7 @@
   const server = createServer((_, response) => handleRequest(response));
   server.listen(0, '127.0.0.1');
   await once(server, 'listening');
-  const { port } = server.address() as AddressInfo;
-  const client = new StoreClient({
-    address: { host: '127.0.0.1', port },
-    timers: new SystemTimers(),
-    timeoutMs: IDLE_TIMEOUT_MS,
-  });
+  const client = createClientOf((server.address() as AddressInfo).port);
   context.after(async () => {
     await client.close();
     server.closeAllConnections();
@@ -73,11 +76,7 @@
 test('a response that arrived during a stall of the event loop is read, although its timeout has passed', async (context) => {
   const worker = new Worker(SERVER_SCRIPT, { eval: true });
   const [port] = (await once(worker, 'message')) as [number];
-  const client = new StoreClient({
-    address: { host: '127.0.0.1', port },
-    timers: new SystemTimers(),
-    timeoutMs: IDLE_TIMEOUT_MS,
-  });
+  const client = createClientOf(port);
   context.after(async () => {
     await client.close();
     await worker.terminate();
--- a/tests/reports/leftEndpointUsedAgain.test.ts
+++ b/tests/reports/leftEndpointUsedAgain.test.ts
@@ -5,8 +5,8 @@
 import { createLogger } from '../../src/core/logging.js';
 import { VirtualTimers } from '../../src/core/timers.js';
 import { EndpointDirectory } from '../../src/gateway/endpointDirectory.js';
-import { brandId, type Offset, type VmId } from '../../src/types/ids.js';
-import { createEndpointEntry, ENTRY_SERVICE } from '../support/endpointEntries.js';
+import { brandId, type VmId } from '../../src/types/ids.js';
+import { at, createEndpointEntry, ENTRY_SERVICE } from '../support/endpointEntries.js';
 import { EndpointLog, type LogStep } from '../support/endpointLog.js';
 
 const ID: VmId = brandId('e');
@@ -14,10 +14,6 @@
 
 const entry = createEndpointEntry();
 
-function at(offset: number): Offset {
-  return brandId<Offset>(offset);
-}
-
 function createDirectory(timers = new VirtualTimers()): EndpointDirectory {
   return new EndpointDirectory({
     logger: createLogger({ level: 'error', format: 'json' }),
--- a/tests/support/endpointEntries.ts
+++ b/tests/support/endpointEntries.ts
@@ -1,10 +1,15 @@
 /** Entries of endpoints. */
 import type { EndpointEntry } from '../../src/types/gateway.js';
-import { brandId, type ServiceName } from '../../src/types/ids.js';
+import { brandId, type Offset, type ServiceName } from '../../src/types/ids.js';
 
 /** The service of the entries. */
 export const ENTRY_SERVICE: ServiceName = brandId('s');
 
+/** Returns an offset of a record. */
+export function at(offset: number): Offset {
+  return brandId<Offset>(offset);
+}
+
 /** Creates the entry of a ready endpoint. */
 export function createEndpointEntry(fields: Partial<EndpointEntry> = {}): EndpointEntry {
   return {
