--- a/review/lib-2/fleet.mjs
+++ b/review/lib-2/fleet.mjs
@@ -15,6 +15,10 @@
 export const HAS_TROUBLE = process.env.TROUBLE !== '0';
 const HEARTBEAT_MS = 1_200;
 
+const children = new Set();
+process.on('exit', () => children.forEach((child) => child.kill('SIGKILL')));
+['SIGINT', 'SIGTERM', 'SIGHUP'].forEach((name) => process.on(name, () => process.exit(2)));
+
 export const sleep = (ms) =>
   new Promise((resolve) => {
     setTimeout(resolve, ms);
@@ -83,8 +87,10 @@
     closeSync(log);
     this.isRunning = true;
     const { child } = this;
+    children.add(child);
     this.ended = new Promise((resolve) => {
       child.on('exit', (code, signal) => {
+        children.delete(child);
         if (this.child === child) {
           this.isRunning = false;
         }
