Log over which connection a call that must run once was refused

Cause: the line of a call names its attempts as refused, but not over which connection. A refusal that belongs to the attempt and the copy of an earlier one look the same.

Change: the agent remembers by 32-bit hashes which calls a connection has carried, up to 256, after which it is closed instead of being reused. A refused attempt of a call that must run once leaves a line with the status, the time since it was sent, and whether the connection had carried its id before.

--- a/src/core/utilities.ts
+++ b/src/core/utilities.ts
@@ -6,6 +6,12 @@
   throw new Error(`unexpected value: ${JSON.stringify(value)}`);
 }
 
+/** A `Map` or a `WeakMap`. */
+interface MutableLookup<Key, Value> {
+  get(key: Key): Value | undefined;
+  set(key: Key, value: Value): unknown;
+}
+
 /**
  * Returns the value stored under a key; creates it if there is none.
  *
@@ -13,7 +19,7 @@
  * getOrCreate(new Map<string, string[]>(), 'a', () => []).push('b');
  */
 export function getOrCreate<Key, Value>(
-  map: Map<Key, Value>,
+  map: MutableLookup<Key, Value>,
   key: Key,
   create: () => Value,
 ): Value {
--- a/src/gateway/forward/endpointAgent.ts
+++ b/src/gateway/forward/endpointAgent.ts
@@ -2,22 +2,37 @@
 import { Agent, type AgentOptions, type ClientRequest } from 'node:http';
 import type { Duplex } from 'node:stream';
 import type { Socket } from 'node:net';
+import { getHash32, getOrCreate } from '../../core/utilities.js';
 
 const IDLE_TIMEOUT_MS = 4_000; // longer than the gaps between calls to one endpoint under usual load
 const IDLE_MARGIN_MS = 500; // avoids sending a call while the endpoint closes the idle connection
+/** A connection that has carried this many calls is closed, which bounds what is remembered of them. */
+const CALLS_PER_CONNECTION_MAX = 256;
 
 /**
  * An HTTP agent that watches its idle connections. Bytes that arrive on one belong to no call, so the connection is
- * closed instead of being reused.
+ * closed instead of being reused. It knows which calls a connection has carried, by the hashes of their ids.
  */
 export class EndpointAgent extends Agent {
   /** The `data` listener of each idle connection, which closes the connection. */
   private readonly idleDataListeners = new WeakMap<Duplex, () => void>();
 
+  /** Hashes of the ids of the calls that each connection has carried. */
+  private readonly carriedCalls = new WeakMap<Duplex, Set<number>>();
+
   constructor(options: AgentOptions = {}) {
     super({ keepAlive: true, scheduling: 'lifo', timeout: IDLE_TIMEOUT_MS, ...options });
   }
 
+  /** Records that a connection carries a call. Returns whether it had carried a call of that id before. */
+  recordCall(socket: Duplex, callId: string): boolean {
+    const carried = getOrCreate(this.carriedCalls, socket, () => new Set<number>());
+    const hash = getHash32(callId);
+    const isRepeated = carried.has(hash);
+    carried.add(hash);
+    return isRepeated;
+  }
+
   // Node calls this for each connection that becomes free after a response.
   override keepSocketAlive(socket: Duplex): boolean {
     const inherited = Agent.prototype as unknown as {
@@ -26,6 +41,9 @@
     if (!inherited.keepSocketAlive.call(this, socket) || socket.readableLength > 0) {
       return false;
     }
+    if ((this.carriedCalls.get(socket)?.size ?? 0) >= CALLS_PER_CONNECTION_MAX) {
+      return false;
+    }
     const { timeout = IDLE_TIMEOUT_MS } = socket as Socket;
     (socket as Socket).setTimeout(Math.max(1, Math.min(IDLE_TIMEOUT_MS, timeout - IDLE_MARGIN_MS)));
     const onData = () => {
--- a/src/gateway/forward/endpointAttempt.ts
+++ b/src/gateway/forward/endpointAttempt.ts
@@ -1,5 +1,4 @@
 /** One attempt of a call on one endpoint. Updates the endpoint's state from the response. */
-import type { Agent } from 'node:http';
 import type { Logger } from '../../core/logging.js';
 import type { MemoryBudget } from '../../core/memoryBudget.js';
 import type { Metrics } from '../../core/metrics.js';
@@ -17,6 +16,7 @@
   type IncomingResponse,
   type StreamRelay,
 } from './responseRelay.js';
+import type { EndpointAgent } from './endpointAgent.js';
 import { EndpointCall, isCloseDelimited } from './endpointCall.js';
 import { isAbortable, type AttemptFailure } from './retryPolicy.js';
 
@@ -37,7 +37,7 @@
   readonly poison: PoisonController;
   readonly limits: LimitController;
   readonly ownLoad: OwnLoad;
-  readonly agent: Agent;
+  readonly agent: EndpointAgent;
   /** Shared by all attempts. */
   readonly responseMemory: MemoryBudget;
   /** Shared by all responses that callers have not read. */
@@ -97,6 +97,7 @@
     this.endpointCall = new EndpointCall({
       agent,
       timers,
+      callId: call.metadata.id,
       address: endpoint.entry,
       method: call.method,
       target: call.target,
@@ -198,6 +199,7 @@
     }
     this.applyEndpointSignals(metadata);
     if (metadata.isNotRun) {
+      this.logNotRun(metadata);
       discardResponse(message, timers);
       if (metadata.isWrongEndpoint) {
         directory.markEnded(endpoint, 'replaced');
@@ -357,6 +359,24 @@
     }
   }
 
+  /** A call that must run once is sent again after this, so the log shows on what evidence. */
+  private logNotRun({ status, isWrongEndpoint }: ResponseMetadata): void {
+    const { call, endpoint, timers, logger } = this.options;
+    if (call.route.repeatability === 'once') {
+      logger.info('endpoint refused a call', {
+        request: call.metadata.id,
+        endpoint: endpoint.entry.id,
+        startedAtMs: endpoint.entry.startedAtMs,
+        address: `${endpoint.entry.host}:${endpoint.entry.port}`,
+        status,
+        isWrongEndpoint,
+        sentMsAgo: Math.round(timers.now() - this.sentAt),
+        isConnectionReused: this.endpointCall.isConnectionReused(),
+        isRepeatedOnConnection: this.endpointCall.isRepeatedOnConnection(),
+      });
+    }
+  }
+
   private logFailure(failure: AttemptFailure, detail: string | undefined): void {
     const { call, endpoint, timers, logger } = this.options;
     logger.info('attempt failed', {
--- a/src/gateway/forward/endpointCall.ts
+++ b/src/gateway/forward/endpointCall.ts
@@ -1,15 +1,18 @@
 /** Sends one call over one connection to an endpoint. */
-import { request, type Agent, type ClientRequest, type IncomingMessage } from 'node:http';
+import { request, type ClientRequest, type IncomingMessage } from 'node:http';
 import type { Socket } from 'node:net';
 import type { TimerService, Unsubscribe } from '../../core/timers.js';
 import { getErrorMessage } from '../../core/utilities.js';
 import type { Address } from '../../types/gateway.js';
+import type { EndpointAgent } from './endpointAgent.js';
 import { findHeadFault } from './responseHead.js';
 
 /** Options of a call. */
 export interface EndpointCallOptions {
-  readonly agent: Agent;
+  readonly agent: EndpointAgent;
   readonly timers: TimerService;
+  /** The id that the endpoint repeats in its response. */
+  readonly callId: string;
   readonly address: Address;
   readonly method: string;
   readonly target: string;
@@ -45,6 +48,8 @@
 
   private hasFailed = false;
 
+  private hasRepeatedCall = false;
+
   private cancelConnect: Unsubscribe = () => {};
 
   /** Everything received until the head of the response is complete. */
@@ -74,6 +79,11 @@
     return this.clientRequest?.reusedSocket ?? false;
   }
 
+  /** Returns whether the connection carried a call of the same id before, whose response can't be told from this one's. */
+  isRepeatedOnConnection(): boolean {
+    return this.hasRepeatedCall;
+  }
+
   /** Closes the connection, so that the endpoint stops its work. */
   abort(): void {
     this.isAborted = true;
@@ -123,8 +133,9 @@
   }
 
   private watchSocket(clientRequest: ClientRequest, socket: Socket): void {
-    const { timers, connectTimeoutMs = CONNECT_TIMEOUT_MS } = this.options;
+    const { agent, callId, timers, connectTimeoutMs = CONNECT_TIMEOUT_MS } = this.options;
     socket.setNoDelay(true);
+    this.hasRepeatedCall = agent.recordCall(socket, callId);
     this.collectHead(clientRequest, socket);
     if (!socket.connecting) {
       this.isConnected = true;
--- a/tests/gateway/invalidAnswers.test.ts
+++ b/tests/gateway/invalidAnswers.test.ts
@@ -35,6 +35,7 @@
       const endpointCall = new EndpointCall({
         agent,
         timers: new SystemTimers(),
+        callId: `call-${Math.random()}`,
         address: { host: '127.0.0.1', port },
         method: 'POST',
         target: '/',
