Never send a call id twice over one connection to an endpoint

What callers saw: a call that must run once ran twice. The gateway answered that it had not run, while it ran.

Cause: an answer is attributed by the id that it repeats. An endpoint that refuses a call may send a copy of the refusal, and the pool chose connections by address only. When the id came again on the same connection, the copy counted as the answer, and the promise in it made the caller repeat.

The log showed the copy with isRepeatedOnConnection: true.

Change: the agent gives a call a connection of its own where an idle connection to the address has carried its id. This works whatever an endpoint sends again and however late, since no connection has two calls of one id.

Calls with new ids reuse their connections as before.

--- a/src/gateway/forward/endpointAgent.ts
+++ b/src/gateway/forward/endpointAgent.ts
@@ -3,6 +3,7 @@
 import type { Duplex } from 'node:stream';
 import type { Socket } from 'node:net';
 import { getHash32, getOrCreate } from '../../core/utilities.js';
+import type { Address } from '../../types/gateway.js';
 
 const IDLE_TIMEOUT_MS = 4_000; // longer than the gaps between calls to one endpoint under usual load
 const IDLE_MARGIN_MS = 500; // avoids sending a call while the endpoint closes the idle connection
@@ -17,6 +18,9 @@
   /** The `data` listener of each idle connection, which closes the connection. */
   private readonly idleDataListeners = new WeakMap<Duplex, () => void>();
 
+  /** For calls that an idle connection has carried; its connections are not reused. */
+  private readonly singleUseAgent = new Agent({ keepAlive: false });
+
   /** Hashes of the ids of the calls that each connection has carried. */
   private readonly carriedCalls = new WeakMap<Duplex, Set<number>>();
 
@@ -24,6 +28,25 @@
     super({ keepAlive: true, scheduling: 'lifo', timeout: IDLE_TIMEOUT_MS, ...options });
   }
 
+  /**
+   * Returns the agent to send a call with. A connection must not carry an id twice: the endpoint may still send a copy of
+   * its first answer, which the id can't tell from the second one.
+   *
+   * @example
+   * request({ ...address, agent: agent.getAgentFor(address, callId) });
+   */
+  getAgentFor({ host, port }: Address, callId: string): Agent {
+    const idle = this.freeSockets[this.getName({ host, port })] ?? [];
+    const hash = getHash32(callId);
+    const isRepeated = idle.some((socket) => this.carriedCalls.get(socket)?.has(hash));
+    return isRepeated ? this.singleUseAgent : this;
+  }
+
+  override destroy(): void {
+    super.destroy();
+    this.singleUseAgent.destroy();
+  }
+
   /** Records that a connection carries a call. Returns whether it had carried a call of that id before. */
   recordCall(socket: Duplex, callId: string): boolean {
     const carried = getOrCreate(this.carriedCalls, socket, () => new Set<number>());
--- a/src/gateway/forward/endpointCall.ts
+++ b/src/gateway/forward/endpointCall.ts
@@ -91,12 +91,12 @@
   }
 
   private send(resolve: (result: SendResult) => void): void {
-    const { agent, address, method, target, headers, body } = this.options;
+    const { agent, callId, address, method, target, headers, body } = this.options;
     // Node sends an array of headers unchanged and in order.
     const clientRequest = request({
       host: address.host,
       port: address.port,
-      agent,
+      agent: agent.getAgentFor(address, callId),
       method,
       path: target,
       headers: headers as never,
