Give each attempt of a router an id of its own

What callers could see: a router said that a request had not run, while it ran; with a late copy of a success, the answer to another request of the same id, also of another workspace.

The id of an attempt was the caller's id and the number of the attempt, so a caller's repeat, or another workspace, sent the same id again over a shared connection, and a late copy of the first answer counted as the second one.

Evidence: the new test of tests/unit/guarantees.test.ts failed before: three requests of one id reached an engine under one attempt id.

Change: the id of an attempt ends in a random part. Endpoints only repeat it.

--- a/src/filters/relay.ts
+++ b/src/filters/relay.ts
@@ -1,4 +1,5 @@
 /** Sends the request to an endpoint, retries where that is allowed, and relays the response. */
+import { randomUUID } from 'node:crypto';
 import { Err, Ok } from '../core/results.js';
 import type { VmId } from '../types/ids.js';
 import type { EndpointClient } from '../types/endpoints.js';
@@ -99,7 +100,8 @@
     }
     const { slot, recordCompletion } = admitted;
     tried.add(slot.endpoint.info.vm);
-    const id = `${exchange.id}.${number}`;
+    // Callers may repeat an id, and workspaces may use the same one; an answer is attributed by the id of its attempt.
+    const id = `${exchange.id}.${number}.${randomUUID()}`;
     const markLeaving = (vm: VmId) => endpoints.markLeaving(vm);
     try {
       return await call.run({ exchange, slot, client, timers, metrics, id, signal, markLeaving });
--- a/tests/support/fakeEndpoints.ts
+++ b/tests/support/fakeEndpoints.ts
@@ -42,6 +42,9 @@
   /** Number of runs of each order, by its key. */
   readonly orders = new Map<string, number>();
 
+  /** The id of each call that reached an endpoint. */
+  readonly callIds: string[] = [];
+
   /** Number of calls that reached each endpoint. */
   readonly calls = new Map<string, number>();
 
@@ -93,6 +96,7 @@
       return Err({ kind: 'unreachable', detail: 'down' });
     }
     endpoints.calls.set(endpoint, (endpoints.calls.get(endpoint) ?? 0) + 1);
+    endpoints.callIds.push(call.headers['x-request-id']!);
     const echo = { 'x-request-id': call.headers['x-request-id']! };
     if (faults.leaving) {
       return Ok(createResponse(503, { ...echo, 'x-endpoint-leaving': 'yes' }, []));
--- a/tests/unit/guarantees.test.ts
+++ b/tests/unit/guarantees.test.ts
@@ -141,3 +141,15 @@
   expect(allotment!.spent).toEqual(10);
   expect(simulation.audit().bills).toEqual(1);
 });
+
+// Failure: a late copy of an answer counted as the answer to a later request of the same id, also of another workspace.
+test('endpoints never see an id twice when callers repeat theirs', async () => {
+  const simulation = await startSimulation();
+  for (let repeat = 0; repeat < 3; repeat += 1) {
+    simulation.chat(0, 'same', 'hello', 5);
+    await simulation.advance(2_000);
+  }
+  const { callIds } = simulation.endpoints;
+  expect(callIds.length).toEqual(3);
+  expect(new Set(callIds).size).toEqual(callIds.length);
+});
