Believe no answer on a connection that has carried the call before

What callers saw: nothing yet; found in review. The agent compared pools by host and port only, so with an option such as family it missed the idle connections, and a call went over a connection that had carried it. The attempt noticed that, but believed the answer.

Change: pools are compared with all options of the agent, and an answer on a connection that has carried the id of the call counts as one that may belong to another run.

Evidence: the test with two entries at one address is stricter: a third endpoint refuses in between, so that the first connection is idle again. A new test fills connections up to their limit, with the option family; with the choice taken out it failed.

--- a/src/gateway/forward/endpointAgent.ts
+++ b/src/gateway/forward/endpointAgent.ts
@@ -24,8 +24,8 @@
   /** Hashes of the ids of the calls that each connection has carried. */
   private readonly carriedCalls = new WeakMap<Duplex, Set<number>>();
 
-  constructor(options: AgentOptions = {}) {
-    super({ keepAlive: true, scheduling: 'lifo', timeout: IDLE_TIMEOUT_MS, ...options });
+  constructor(private readonly connectionOptions: AgentOptions = {}) {
+    super({ keepAlive: true, scheduling: 'lifo', timeout: IDLE_TIMEOUT_MS, ...connectionOptions });
   }
 
   /**
@@ -36,7 +36,7 @@
    * request({ ...address, agent: agent.getAgentFor(address, callId) });
    */
   getAgentFor({ host, port }: Address, callId: string): Agent {
-    const idle = this.freeSockets[this.getName({ host, port })] ?? [];
+    const idle = this.freeSockets[this.getName({ ...this.connectionOptions, host, port })] ?? [];
     const hash = getHash32(callId);
     const isRepeated = idle.some((socket) => this.carriedCalls.get(socket)?.has(hash));
     return isRepeated ? this.singleUseAgent : this;
--- a/src/gateway/forward/endpointAttempt.ts
+++ b/src/gateway/forward/endpointAttempt.ts
@@ -194,7 +194,8 @@
     const { message } = response;
     const status = message.statusCode ?? 0;
     const metadata = codec.readResponse(call.metadata.id, status, message.rawHeaders);
-    if (!isAttributable(metadata, this.endpointCall.isConnectionReused())) {
+    const isAmbiguous = this.endpointCall.isRepeatedOnConnection();
+    if (isAmbiguous || !isAttributable(metadata, this.endpointCall.isConnectionReused())) {
       return this.abortAndFail('crossed', `status ${status}`);
     }
     this.applyEndpointSignals(metadata);
