Decode the software version of endpoints and the stream that a call takes up

Cause: nothing read the field version of an entry or the header Resumes, so the log couldn't tell at which versions a stream began and went on.

Change: an entry has a softwareVersion: a text or a number of at most 128 characters, empty if none is stated, and undefined if it can't be used, which is reported. A call has the id that Resumes names; Resumes or Last-Event-Id twice in one head is refused with 400. An empty Last-Event-Id counts as none. The line of a stream has the version of each attempt, the event after which it goes on, and the call that it takes up.

--- a/src/gateway/call.ts
+++ b/src/gateway/call.ts
@@ -3,7 +3,7 @@
 import type { TokenHold } from '../escrow/escrowController.js';
 import type { CallMetadata, Route, Workspace } from '../types/gateway.js';
 import { getCallFeature, getPartFeatures } from '../poison/features.js';
-import type { ServiceName } from '../types/ids.js';
+import type { ServiceName, SoftwareVersion } from '../types/ids.js';
 import type { Feature } from '../types/poison.js';
 import type { CallerConnection } from './callerConnection.js';
 import type { ActiveConfig } from './configController.js';
@@ -47,6 +47,9 @@
   /** The endpoint and result of each attempt, for the log. */
   readonly attempts: string[] = [];
 
+  /** The software version of the endpoint of each attempt of a stream, for the log. */
+  readonly attemptVersions: (SoftwareVersion | undefined)[] = [];
+
   private features: readonly Feature[] | undefined;
 
   constructor(
--- a/src/gateway/filters/forwardCall.ts
+++ b/src/gateway/filters/forwardCall.ts
@@ -231,6 +231,9 @@
   private async tryEndpoint(endpoint: EndpointInstance): Promise<AttemptResult> {
     const { call, options, connections, stream } = this;
     this.triedEndpoints.add(endpoint);
+    if (stream) {
+      call.attemptVersions.push(endpoint.entry.softwareVersion);
+    }
     if (endpoint.isLimited(options.timers.now())) {
       options.metrics.limitedCalls.inc();
     }
--- a/src/gateway/gatewayServer.ts
+++ b/src/gateway/gatewayServer.ts
@@ -367,6 +367,7 @@
       detail: refusal?.detail,
       retryAfterMs: refusal?.retryAfterMs,
       attempts: call.attempts,
+      ...(route?.isStream ? getStreamFields(call) : {}),
       promptParts: metadata.promptParts.map(({ id }) => id),
       hold: call.hold?.tokens,
       holdGrantedAfterMs: call.holdGrantedAfterMs,
@@ -402,6 +403,12 @@
   }
 }
 
+/** Returns the fields of the log that show at which software versions a stream began and went on. */
+function getStreamFields({ metadata, attemptVersions }: GatewayCall) {
+  const { resumedCallId: resumes, lastEventId } = metadata;
+  return { versions: attemptVersions, resumes, lastEventId };
+}
+
 /** Node reads the value for each new connection, but declares it for the creation of a server only. */
 function setHeaderBytesMax(server: Server, bytes: number): void {
   Object.assign(server, { maxHeaderSize: bytes });
--- a/src/types/gateway.ts
+++ b/src/types/gateway.ts
@@ -5,6 +5,7 @@
   Era,
   Offset,
   ServiceName,
+  SoftwareVersion,
   VmId,
   WorkspaceId,
 } from './ids.js';
@@ -113,6 +114,8 @@
   readonly port: number;
   readonly availabilityZone: AvailabilityZone;
   readonly slots: number;
+  /** `undefined` if the stated one can't be used; empty if none is stated. */
+  readonly softwareVersion?: SoftwareVersion | undefined;
   readonly state: 'ready' | 'leaving';
   /** Remaining warm-up time, in which the endpoint is slow, in milliseconds; `undefined` if the stated one is unusable. */
   readonly warmupMs: number | undefined;
@@ -160,6 +163,8 @@
   readonly expectedOutputTokens: number | undefined;
   /** Id of the last event that the caller received of the stream that it resumes. */
   readonly lastEventId: string | undefined;
+  /** Id of the call that brought the first event of that stream; `undefined` if the caller names none. */
+  readonly resumedCallId?: string | undefined;
   /** Whether the call has a body, which may be empty. */
   readonly hasBody: boolean;
   /** Headers to forward to the endpoint, alternating between name and value. */
--- a/src/types/ids.ts
+++ b/src/types/ids.ts
@@ -21,6 +21,8 @@
 export type AvailabilityZone = Brand<string, 'AvailabilityZone'>;
 /** A service that callers may use, such as `assistant` or `orders`. */
 export type ServiceName = Brand<string, 'ServiceName'>;
+/** The version of an endpoint's software; equality is all that it says. */
+export type SoftwareVersion = Brand<string, 'SoftwareVersion'>;
 /** A stream of the platform's log. */
 export type StreamName = Brand<string, 'StreamName'>;
 /** The position of a record in a stream, from 0. */
--- a/tests/platform/codecs.test.ts
+++ b/tests/platform/codecs.test.ts
@@ -110,6 +110,7 @@
     ],
     expectedOutputTokens: undefined,
     lastEventId: undefined,
+    resumedCallId: undefined,
     hasBody: true,
   });
   expect(forwardedHeaders.filter((_, index) => index % 2 === 0)).toEqual([
@@ -278,3 +279,35 @@
   const headers = ['Server-Limit', '3', 'Server-Limit', '5'];
   expect(codec.readResponse('c', 200, headers).limit).toEqual({ kind: 'malformed' });
 });
+
+test('the software version of an entry is a text; one that cannot be used fits no other', () => {
+  const decode = (version: string) =>
+    decodeEndpointEntry(
+      'e',
+      Buffer.from(
+        `{"service":"s","address":"127.0.0.1:1","zone":"z","slots":1,"state":"ready","seq":1${version}}`,
+      ),
+    ).unwrap();
+  const versions = ['', ',"version":"3.1"', ',"version":3', ',"version":null', ',"version":{}'];
+  expect(versions.map((version) => decode(version).softwareVersion as string | undefined)).toEqual([
+    '',
+    '3.1',
+    '3',
+    undefined,
+    undefined,
+  ]);
+  expect(decode(`,"version":"${'x'.repeat(129)}"`).problems!.join()).toInclude('version');
+});
+
+test('a call names the call whose stream it takes up at most once', () => {
+  const read = (...headers: string[]) =>
+    codec.readCall(['Host', 'h', 'Shallotrock-Attempt-Id', 'b', ...headers]);
+  const taken = read('Last-Event-Id', '7', 'Resumes', 'a') as CallMetadata;
+  expect([taken.lastEventId, taken.resumedCallId]).toEqual(['7', 'a']);
+  const empty = read('Last-Event-Id', '', 'Resumes', '') as CallMetadata;
+  expect([empty.lastEventId, empty.resumedCallId]).toEqual([undefined, undefined]);
+  expect(read('Resumes', 'a', 'Resumes', 'a')).toEqual({
+    field: 'resumes',
+    detail: 'the header is repeated',
+  });
+});
