Continue a broken stream only at the software version that began it

What callers saw: one answer held events from endpoints of two software versions, with nothing to show it.

Cause: the gateway continued a broken stream at any endpoint of the service. Nothing compared the versions of the endpoints that produced it.

Change: the first event fixes the version of a stream, as the entry of its endpoint stated it when the call was sent. Endpoints of another version, or of one that can't be used, are left out before the placement. Where none is left, the answer is cut, or refused with the new code streamVersionGone if nothing was sent.

What callers take up again themselves is not covered yet.

--- a/src/core/codes.ts
+++ b/src/core/codes.ts
@@ -221,6 +221,13 @@
     'not_run',
     'The endpoints refused the request and no further retry is allowed now.',
   ),
+  streamVersionGone: entry(
+    4008,
+    503,
+    'server_error',
+    'not_run',
+    'No endpoint of the software version that began the stream is in service.',
+  ),
   claimUnavailable: entry(
     5001,
     503,
--- a/src/gateway/call.ts
+++ b/src/gateway/call.ts
@@ -1,7 +1,7 @@
 /** The state of one call while the gateway processes it. */
 import type { Refusal } from '../core/codes.js';
 import type { TokenHold } from '../escrow/escrowController.js';
-import type { CallMetadata, Route, Workspace } from '../types/gateway.js';
+import type { CallMetadata, Route, StreamOrigin, Workspace } from '../types/gateway.js';
 import { getCallFeature, getPartFeatures } from '../poison/features.js';
 import type { ServiceName, SoftwareVersion } from '../types/ids.js';
 import type { Feature } from '../types/poison.js';
@@ -29,6 +29,9 @@
   /** Set by `holdTokens` if the workspace has a token limit. */
   hold: TokenHold | undefined;
 
+  /** Where the stream began; `undefined` until it has. */
+  origin: StreamOrigin | undefined;
+
   /** Whether an endpoint may have executed the call. */
   mayHaveRun = false;
 
--- a/src/gateway/filters/forwardCall.ts
+++ b/src/gateway/filters/forwardCall.ts
@@ -165,11 +165,7 @@
       this.stream = new StreamRelay({
         call,
         tokensPerEvent: service?.engine?.tokensPerEvent ?? 1,
-        onEvents: () => {
-          const elapsedMs = options.timers.now() - call.arrivedAt;
-          call.firstEventAfterMs ??= Math.round(elapsedMs);
-          this.currentAttempt?.recordEvents();
-        },
+        onEvents: () => this.recordEvents(),
       });
     }
   }
@@ -192,6 +188,13 @@
     this.currentAttempt?.stop();
   }
 
+  private recordEvents(): void {
+    const { call, currentAttempt, options } = this;
+    call.firstEventAfterMs ??= Math.round(options.timers.now() - call.arrivedAt);
+    call.origin ??= { version: currentAttempt?.softwareVersion };
+    currentAttempt?.recordEvents();
+  }
+
   private async tryEndpoints(): Promise<FilterResult> {
     for (;;) {
       // The call may have waited for tokens, or have crashed an endpoint itself, since it passed the filter.
@@ -256,12 +259,16 @@
   }
 
   private chooseEndpoint(): Result<EndpointInstance, Refusal> {
-    const { directory, timers, load } = this.options;
-    const { metadata, service } = this.call;
+    const { timers, load } = this.options;
+    const { metadata } = this.call;
     const now = timers.now();
-    const eligible = directory
-      .getEndpoints(service)
-      .filter((endpoint) => !this.triedEndpoints.has(endpoint) && endpoint.isEligible(now));
+    const matching = this.getMatchingEndpoints();
+    if (this.call.origin && matching.length === 0) {
+      return Err(createRefusal('streamVersionGone', { retryAfterMs: NO_ENDPOINT_RETRY_AFTER_MS }));
+    }
+    const eligible = matching.filter(
+      (endpoint) => !this.triedEndpoints.has(endpoint) && endpoint.isEligible(now),
+    );
     const available = eligible.filter((endpoint) => endpoint.isAvailable(now));
     // A call that an endpoint with a limit could take now and does not get is lost to it; the others get all the more.
     const limited = available.filter(({ limit }) => limit.isInForce());
@@ -273,6 +280,19 @@
     return this.placeByOwnCalls(candidates);
   }
 
+  /** Returns the endpoints that take new calls and can continue the call's stream, if it has begun. */
+  private getMatchingEndpoints(): readonly EndpointInstance[] {
+    const { origin, service } = this.call;
+    const endpoints = this.options.directory
+      .getEndpoints(service)
+      .filter(({ isLeaving, isEvacuated }) => !isLeaving && !isEvacuated);
+    return origin
+      ? endpoints.filter(
+          ({ entry }) => origin.version !== undefined && entry.softwareVersion === origin.version,
+        )
+      : endpoints;
+  }
+
   private placeByOwnCalls(
     candidates: readonly EndpointInstance[],
   ): Result<EndpointInstance, Refusal> {
@@ -338,11 +358,9 @@
    * next call probably comes to another gateway, so a limit on this one's calls says little, and spreads the callers.
    */
   private getRetryAfterMs(defaultMs: number): number {
-    const { directory, timers, random } = this.options;
+    const { timers, random } = this.options;
     const now = timers.now();
-    const activeEndpoints = directory
-      .getEndpoints(this.call.service)
-      .filter(({ isLeaving, isEvacuated }) => !isLeaving && !isEvacuated);
+    const activeEndpoints = this.getMatchingEndpoints();
     const waitMs = Math.min(...activeEndpoints.map((endpoint) => endpoint.getWaitMs(now)));
     if (activeEndpoints.some((endpoint) => endpoint.isLimited(now))) {
       return Math.max(defaultMs, Math.min(waitMs, LIMITED_RETRY_AFTER_MAX_MS)) * (1 + random());
--- a/src/gateway/forward/endpointAttempt.ts
+++ b/src/gateway/forward/endpointAttempt.ts
@@ -5,6 +5,7 @@
 import type { TimerService, Unsubscribe } from '../../core/timers.js';
 import type { PoisonController } from '../../poison/poisonController.js';
 import type { ResponseMetadata, HeaderCodec } from '../../types/gateway.js';
+import type { SoftwareVersion } from '../../types/ids.js';
 import type { GatewayCall } from '../call.js';
 import type { EndpointDirectory } from '../endpointDirectory.js';
 import type { EndpointInstance } from '../endpointInstance.js';
@@ -66,6 +67,9 @@
 
   private readonly sentAt: number;
 
+  /** As the entry stated it when the call was sent; a later entry may describe another start. */
+  readonly softwareVersion: SoftwareVersion | undefined;
+
   private readonly inFlight: CallInFlight;
 
   private isPrefillDone = false;
@@ -87,6 +91,7 @@
     // A stream that resumes was answered by the endpoint before.
     this.isAnswered = options.stream?.hasSentEvents() ?? false;
     this.sentAt = timers.now();
+    this.softwareVersion = endpoint.entry.softwareVersion;
     endpoint.recordSend(this.sentAt);
     endpoint.inFlight += 1;
     endpoint.pendingPrefillTokens += this.promptTokens;
--- a/src/types/gateway.ts
+++ b/src/types/gateway.ts
@@ -123,6 +123,12 @@
   readonly problems?: readonly string[] | undefined;
 }
 
+/** Where a stream began; it may go on only at endpoints of the same software version. */
+export interface StreamOrigin {
+  /** `undefined` if the version is unknown; then no endpoint may continue the stream. */
+  readonly version: SoftwareVersion | undefined;
+}
+
 /** An entry with the offset of the store's record that it was read from. */
 export interface ListedEndpoint extends EndpointEntry {
   readonly offset: Offset;
--- a/tests/support/gatewayFleet.ts
+++ b/tests/support/gatewayFleet.ts
@@ -254,7 +254,11 @@
   }
 
   /** Starts an endpoint and stores its entry. */
-  async addEndpoint(id: string, handle: EndpointHandler): Promise<TestEndpoint> {
+  async addEndpoint(
+    id: string,
+    handle: EndpointHandler,
+    fields: Readonly<Record<string, unknown>> = {},
+  ): Promise<TestEndpoint> {
     const calls: IncomingMessage[] = [];
     const responses: ServerResponse[] = [];
     const server = createServer((message, response) => {
@@ -267,14 +271,19 @@
     server.listen(0, '127.0.0.1');
     await once(server, 'listening');
     const { port } = server.address() as AddressInfo;
-    await this.listEndpoint(id, port);
+    await this.listEndpoint(id, port, fields);
     return { id, address: `127.0.0.1:${port}`, calls, responses };
   }
 
   /** Stores the entry of an endpoint that listens on a port. */
-  async listEndpoint(id: string, port: number): Promise<void> {
+  async listEndpoint(
+    id: string,
+    port: number,
+    fields: Readonly<Record<string, unknown>> = {},
+  ): Promise<void> {
     const size = this.gateway.directory.getSize();
-    this.putEndpointEntry(id, JSON.stringify(createEntryFields(`127.0.0.1:${port}`)));
+    const entry = { ...createEntryFields(`127.0.0.1:${port}`), ...fields };
+    this.putEndpointEntry(id, JSON.stringify(entry));
     await this.waitFor(() => this.gateway.directory.getSize() > size);
   }
 
