Take streams up only at the software version that began them

What callers saw: a stream that broke off was taken up with 200, and the rest of its text came from another software version than the first part, with nothing in the answer to show it. Worst after a kill of all vms.

Cause: no vm knew which version began a stream that it didn't serve itself, and nothing that it knew outlasted a kill. A call with Last-Event-Id went to any endpoint of the service.

Change: each process records at which service and version its streams began, from their first event, and writes them as one record under the key of its incarnation into the store. A call that takes a stream up is decided by the records, or by the only version seen within the retention. Otherwise it is refused at once with the new code streamVersionUnknown, or with streamVersionGone if no endpoint of the version is in service.

--- a/src/commands/gatewayCommand.ts
+++ b/src/commands/gatewayCommand.ts
@@ -95,6 +95,7 @@
       endpointTopic: { name: topics.endpoints, part: 0 },
       accountTopic: topics.accounts,
       poisonTopic: { name: topics.poisonPatterns, part: 0 },
+      streamTopic: { name: topics.streamOrigins, part: 0 },
       readinessPath: READINESS_PATH,
     },
     timers,
--- a/src/core/codes.ts
+++ b/src/core/codes.ts
@@ -228,6 +228,13 @@
     'not_run',
     'No endpoint of the software version that began the stream is in service.',
   ),
+  streamVersionUnknown: entry(
+    4009,
+    503,
+    'server_error',
+    'not_run',
+    'The software version that began the stream is not known.',
+  ),
   claimUnavailable: entry(
     5001,
     503,
--- a/src/core/metrics.ts
+++ b/src/core/metrics.ts
@@ -41,6 +41,10 @@
   readonly evictedResponses: Counter;
   /** Calls refused because of the load of their endpoints, by reason. */
   readonly admissionRefusals: Counter<'reason'>;
+  /** Streams that callers took up again, by what decided where they began. */
+  readonly resumedStreams: Counter<'result'>;
+  /** Writes of the record of the streams that this process began. */
+  readonly streamRecordWrites: Counter<'outcome'>;
   /** Endpoints whose calls broke off before an answer, by whether they still accepted connections. */
   readonly brokenEndpoints: Counter<'state'>;
   /** Patterns of refused calls, which crashed endpoints. */
@@ -113,6 +117,16 @@
       'Calls refused because of the load of their endpoints.',
       ['reason'],
     ),
+    resumedStreams: counter(
+      'resumed_streams_total',
+      'Streams that callers took up again, by what decided where they began.',
+      ['result'],
+    ),
+    streamRecordWrites: counter(
+      'stream_record_writes_total',
+      'Writes of the record of the streams that this process began.',
+      ['outcome'],
+    ),
     brokenEndpoints: counter(
       'broken_endpoints_total',
       'Endpoints whose calls broke off before an answer, by their state.',
--- a/src/gateway/endpointDirectory.ts
+++ b/src/gateway/endpointDirectory.ts
@@ -8,6 +8,7 @@
 import type { Era, Offset, ServiceName, VmId } from '../types/ids.js';
 import { EndpointInstance } from './endpointInstance.js';
 import type { WarmupPolicy } from './limits/warmupLimit.js';
+import { VersionHistory } from './streams/versionHistory.js';
 import { RENEWAL_MS } from './outageGrace.js';
 
 /** How many removed endpoints are remembered; more than leave while a partition lasts. */
@@ -37,6 +38,9 @@
  * one era of the store: those of an earlier era come before all others.
  */
 export class EndpointDirectory {
+  /** The software versions of the endpoints, also of those that were removed. */
+  readonly versionHistory = new VersionHistory();
+
   private readonly byId = new Map<VmId, EndpointInstance>();
 
   private readonly byService = new Map<ServiceName, EndpointInstance[]>();
@@ -324,6 +328,7 @@
 
   private add(endpoint: EndpointInstance, origin: EntryOrigin): void {
     const { entry, offset } = endpoint;
+    this.recordVersion(entry);
     this.removed.delete(entry.id);
     this.byId.set(entry.id, endpoint);
     getOrCreate(this.byService, entry.service, () => []).push(endpoint);
@@ -333,13 +338,19 @@
       state: entry.state,
       startedAtMs: entry.startedAtMs,
       sequence: entry.sequence,
+      softwareVersion: entry.softwareVersion,
       origin,
       offset,
     });
   }
 
+  private recordVersion({ service, softwareVersion }: EndpointEntry): void {
+    this.versionHistory.record(service, softwareVersion, this.options.timers.now());
+  }
+
   private removeEndpoint(endpoint: EndpointInstance, end: Offset, reason: string): void {
     const { id, service, startedAtMs, sequence } = endpoint.entry;
+    this.recordVersion(endpoint.entry);
     this.byId.delete(id);
     const others = this.getEndpoints(service).filter((other) => other !== endpoint);
     this.byService.set(service, others);
@@ -388,6 +399,8 @@
   private update(instance: EndpointInstance, entry: EndpointEntry, offset: Offset): void {
     const isRewritten = instance.offset === EARLIER_ERA_OFFSET && offset > EARLIER_ERA_OFFSET;
     instance.isUnlisted &&= !isRewritten && entry.sequence <= instance.entry.sequence;
+    this.recordVersion(instance.entry);
+    this.recordVersion(entry);
     instance.entry = entry;
     instance.isEvacuated = this.isEvacuated(entry.availabilityZone);
     instance.warmup.applyEntry(entry, this.options.timers.now());
--- a/src/gateway/filters/forwardCall.ts
+++ b/src/gateway/filters/forwardCall.ts
@@ -34,6 +34,7 @@
 import type { RefusalLog } from '../load/refusalLog.js';
 import { createDrainingRefusal, isForwardingAllowed } from '../stopPolicy.js';
 import { choosePlacement } from '../placement.js';
+import type { StreamOrigins } from '../streams/streamOrigins.js';
 import { getPoisonRefusal } from './rejectPoison.js';
 
 /** Options of the filter. */
@@ -47,6 +48,7 @@
   readonly limits: LimitController;
   readonly load: EndpointLoadController;
   readonly refusalLog: RefusalLog;
+  readonly origins: StreamOrigins;
   readonly availabilityZone: string;
   readonly retryWindowMs: number;
   readonly retryRatio: number;
@@ -191,7 +193,13 @@
   private recordEvents(): void {
     const { call, currentAttempt, options } = this;
     call.firstEventAfterMs ??= Math.round(options.timers.now() - call.arrivedAt);
-    call.origin ??= { version: currentAttempt?.softwareVersion };
+    if (!call.origin) {
+      const version = currentAttempt?.softwareVersion;
+      call.origin = { version };
+      if (call.route.repeatability === 'resumable') {
+        options.origins.recordBegin(call, { service: call.service, version });
+      }
+    }
     currentAttempt?.recordEvents();
   }
 
--- a/src/gateway/gateway.ts
+++ b/src/gateway/gateway.ts
@@ -48,6 +48,7 @@
 import { HoldTokens } from './filters/holdTokens.js';
 import { MatchRoute } from './filters/matchRoute.js';
 import { RejectPoison } from './filters/rejectPoison.js';
+import { ResolveStream } from './filters/resolveStream.js';
 import { createCallerBounds } from '../server/callerBounds.js';
 import { GatewayServer } from './gatewayServer.js';
 import { EvacuationController } from './evacuations/evacuationController.js';
@@ -57,6 +58,7 @@
 import { RefusalLog } from './load/refusalLog.js';
 import { getOutageGraceMs } from './outageGrace.js';
 import { PeerSync } from './peerSync.js';
+import { StreamOrigins } from './streams/streamOrigins.js';
 
 /** The platform's store, topics, names and codecs. */
 export interface PlatformBinding {
@@ -71,6 +73,7 @@
   readonly endpointTopic: Topic;
   readonly accountTopic: string;
   readonly poisonTopic: Topic;
+  readonly streamTopic: Topic;
   readonly readinessPath: string;
 }
 
@@ -100,6 +103,7 @@
 
 const ALLOTMENT_HORIZON_MS = 8_500; // partitions from the store last up to 9 s; peer transfers balance uneven spending
 const CRASH_KEY = 'crashes'; // all gateways choose the same home to decide about crashes
+const STREAM_KEY = 'streams'; // all gateways choose the same home to remove records of streams
 const STOP_UNREADY_MS = 2_600; // two readiness probes fail by then; a long call accepted later cannot end within the grace period
 const STOP_MARGIN_MS = 500;
 const CONFIG_WAIT_MARGIN_MS = 1_200; // the store client's timeout and the read after it
@@ -141,6 +145,8 @@
 
   readonly endpointLoad: EndpointLoadController;
 
+  private readonly origins: StreamOrigins;
+
   private readonly peerServer: PeerServer;
 
   private readonly peerClient: PeerClient;
@@ -209,11 +215,13 @@
     this.peerSync = this.createPeerSync();
     this.limits = this.createLimitController();
     this.endpointLoad = this.createEndpointLoad();
+    this.origins = this.createStreamOrigins();
     this.forwardFilter = this.createForwardFilter();
     this.filters = [
       new MatchRoute({ getConfig: () => this.config.getActive(), random: this.getRandom() }),
       new AuthenticateKey(),
       new RejectPoison(this.poison),
+      new ResolveStream(this.origins),
       new HoldTokens(this.escrow, options.timers),
       this.forwardFilter,
     ];
@@ -231,6 +239,7 @@
     this.poison.start();
     this.peerSync.start();
     this.endpointLoad.start();
+    this.origins.start();
     this.loadController.start();
     this.options.logger.info('gateway started', { run: this.options.run, port });
     return port;
@@ -246,6 +255,7 @@
     this.isStopping = true;
     this.server.startClosing();
     this.escrow.startDraining();
+    this.origins.writeSoon();
     logger.info('gateway stopping', { openCalls: this.server.getOpenCalls() });
     await timers.sleep(Math.min(STOP_UNREADY_MS, deployment.graceMs / 2));
     const drainTimeoutMs = deployment.graceMs - STOP_MARGIN_MS - (timers.now() - startedAt);
@@ -264,6 +274,7 @@
     this.warmupPolicy.stop();
     this.endpointLoad.stop();
     this.poison.stop();
+    this.origins.stop();
     this.loadController.stop();
     this.configReader.stop();
     this.endpointReader.stop();
@@ -405,6 +416,7 @@
   private handleRewind(era: Era): void {
     this.directory.startEra(era);
     this.peerSync.handleRewind();
+    this.origins.writeSoon();
   }
 
   private recordRead(topic: string, gapMs: number): void {
@@ -550,6 +562,7 @@
       limits: this.limits,
       load: this.endpointLoad,
       refusalLog: new RefusalLog({ logger, metrics }),
+      origins: this.origins,
       availabilityZone: deployment.availabilityZone,
       retryWindowMs: deployment.retryWindowMs,
       retryRatio: deployment.retryRatio,
@@ -561,6 +574,23 @@
     });
   }
 
+  private createStreamOrigins(): StreamOrigins {
+    const { timers, logger, metrics, platform, deployment, run } = this.options;
+    return new StreamOrigins({
+      store: platform.store,
+      topic: platform.streamTopic,
+      timers,
+      logger,
+      metrics,
+      run,
+      history: this.directory.versionHistory,
+      getListedVersions: (service) =>
+        this.directory.getEndpoints(service).map(({ entry }) => entry.softwareVersion),
+      isSweeper: () => this.shards[0]!.homes.getOrder(STREAM_KEY)[0] === deployment.vm,
+      getVmCount: () => this.shards[0]!.ledger.holders.size,
+    });
+  }
+
   private createPeerServer(): PeerServer {
     const witness = new ExtensionWitness(this.options.run);
     return new PeerServer(this.options.sharedKey, {
@@ -661,6 +691,10 @@
       ),
     );
     this.escrow.onTotalsChanged();
+    const streamTimeoutsMs = config.routes.flatMap(({ isStream, timeoutMs }) =>
+      isStream ? [timeoutMs] : [],
+    );
+    this.origins.applyTimeout(Math.max(0, ...streamTimeoutsMs));
   }
 
   /** Returns the other gateways: those with known accounts, or else the seeds from the settings. */
--- /dev/null
+++ b/src/gateway/streams/streamIndex.ts
@@ -0,0 +1,124 @@
+/** Reads the records of all processes about the streams that they began. */
+import type { Logger } from '../../core/logging.js';
+import type { TimerService } from '../../core/timers.js';
+import { getOrCreate } from '../../core/utilities.js';
+import type { ServiceName } from '../../types/ids.js';
+import type { KeyedStore, NewestRecords, Topic } from '../../types/store.js';
+import type { RecordedOrigin } from './decideOrigin.js';
+import type { StreamKey } from './streamKey.js';
+import { decodeStreamRecord, type VersionStreams } from './streamRecord.js';
+import type { SeenVersion } from './versionHistory.js';
+
+/** Options of an index. */
+export interface StreamIndexOptions {
+  readonly store: KeyedStore;
+  readonly topic: Topic;
+  readonly timers: TimerService;
+  readonly logger: Logger;
+}
+
+interface ReadRecord {
+  readonly value: Uint8Array;
+  /** `undefined` if the record is malformed. */
+  readonly rows: readonly VersionStreams[] | undefined;
+}
+
+/** Many calls are taken up at once after a failure; they share reads that are this far apart. */
+const READ_INTERVAL_MS = 50;
+
+/** What the records said when they were last read. */
+export class StreamIndex {
+  private records = new Map<string, ReadRecord>();
+
+  private origins = new Map<StreamKey, RecordedOrigin[]>();
+
+  private versions = new Map<ServiceName, Set<SeenVersion>>();
+
+  private currentRead: Promise<boolean> = Promise.resolve(true);
+
+  /** A read that has not begun, so that it returns everything that was stored before now. */
+  private nextRead: Promise<boolean> | undefined;
+
+  private lastReadAt = Number.NEGATIVE_INFINITY;
+
+  private hasBeenRead = false;
+
+  constructor(private readonly options: StreamIndexOptions) {}
+
+  /** Returns what the records say of a stream. */
+  find(key: StreamKey): readonly RecordedOrigin[] {
+    return this.origins.get(key) ?? [];
+  }
+
+  /** Returns the versions of a service that the records name. */
+  getVersions(service: ServiceName): ReadonlySet<SeenVersion> {
+    return this.versions.get(service) ?? new Set();
+  }
+
+  /** Returns whether every record was read since the start of this process. One that is malformed may name any stream. */
+  isComplete(): boolean {
+    return this.hasBeenRead && [...this.records.values()].every(({ rows }) => rows);
+  }
+
+  /** Reads the records; resolves with whether that succeeded. The read begins after the call. */
+  refresh(): Promise<boolean> {
+    this.nextRead ??= this.readNext();
+    return this.nextRead;
+  }
+
+  private async readNext(): Promise<boolean> {
+    const { timers } = this.options;
+    await this.currentRead;
+    const waitMs = this.lastReadAt + READ_INTERVAL_MS - timers.now();
+    if (waitMs > 0) {
+      await timers.sleep(waitMs);
+    }
+    this.nextRead = undefined;
+    this.lastReadAt = timers.now();
+    this.currentRead = this.read();
+    return this.currentRead;
+  }
+
+  private async read(): Promise<boolean> {
+    const { store, topic, logger } = this.options;
+    const result = await store.readNewest(topic);
+    if (result.err) {
+      logger.warn('records of streams not read', { ...result.val });
+      return false;
+    }
+    this.apply(result.val);
+    return true;
+  }
+
+  private apply({ records }: NewestRecords): void {
+    const known = this.records;
+    this.records = new Map();
+    records.forEach(({ key, value }) => {
+      if (value) {
+        const previous = known.get(key);
+        const isSame = previous !== undefined && Buffer.compare(previous.value, value) === 0;
+        this.records.set(key, isSame ? previous : { value, rows: this.decode(key, value) });
+      }
+    });
+    this.origins = new Map();
+    this.versions = new Map();
+    this.records.forEach(({ rows }) => rows?.forEach((row) => this.addRow(row)));
+    this.hasBeenRead = true;
+  }
+
+  private decode(key: string, value: Uint8Array): readonly VersionStreams[] | undefined {
+    const rows = decodeStreamRecord(value);
+    if (rows.err) {
+      this.options.logger.warn('record of streams can not be read', { key, detail: rows.val });
+      return undefined;
+    }
+    return rows.val;
+  }
+
+  private addRow({ service, version, streams }: VersionStreams): void {
+    getOrCreate(this.versions, service, () => new Set()).add(version);
+    streams.forEach((stream) =>
+      getOrCreate(this.origins, stream, () => []).push({ service, version }),
+    );
+  }
+}
--- /dev/null
+++ b/src/gateway/streams/streamJournal.ts
@@ -0,0 +1,168 @@
+/** Keeps the streams that this process began, and writes them to the store as one record. */
+import type { Logger } from '../../core/logging.js';
+import type { Metrics } from '../../core/metrics.js';
+import type { TimerService, Unsubscribe } from '../../core/timers.js';
+import { getErrorMessage, getOrCreate } from '../../core/utilities.js';
+import type { Incarnation, ServiceName } from '../../types/ids.js';
+import type { KeyedStore, Topic } from '../../types/store.js';
+import type { RecordedOrigin } from './decideOrigin.js';
+import type { StreamKey } from './streamKey.js';
+import { encodeStreamRecord, type VersionStreams } from './streamRecord.js';
+import type { SeenVersion } from './versionHistory.js';
+
+/** Options of a journal. */
+export interface StreamJournalOptions {
+  readonly store: KeyedStore;
+  readonly topic: Topic;
+  readonly timers: TimerService;
+  readonly logger: Logger;
+  readonly metrics: Metrics;
+  /** The key of the record. */
+  readonly run: Incarnation;
+  /** Returns the versions of each service that were seen within the retention. */
+  readonly getVersions: () => ReadonlyMap<ServiceName, ReadonlySet<SeenVersion>>;
+  /** Returns for how long a stream may be taken up after it began, in milliseconds. */
+  readonly getRetentionMs: () => number;
+  /** Returns the number of vms that write to the topic. */
+  readonly getVmCount: () => number;
+}
+
+interface OwnStream extends RecordedOrigin {
+  readonly expiresAt: number;
+}
+
+/** Without a record, a stream is still known to have begun at the only version. */
+const WRITE_DELAY_MS = 2_000;
+/** Delay while a service has several versions: a stream without a record can't be taken up elsewhere. */
+const WRITE_DELAY_SEVERAL_VERSIONS_MS = 300;
+const RETRY_DELAY_MS = 500;
+/** One partition takes an append every 4 ms, so that it is busy for less than half of the time. */
+const WRITE_DELAY_PER_VM_MS = 10;
+/** The oldest streams beyond this are dropped, so that a record stays below the size limit of the store. */
+const STREAMS_MAX = 20_000;
+
+/** The streams that this process began within the retention. */
+export class StreamJournal {
+  /** In the order in which they began. */
+  private readonly streams = new Map<StreamKey, OwnStream>();
+
+  private scheduled: { readonly at: number; readonly cancel: Unsubscribe } | undefined;
+
+  private isWriting = false;
+
+  private isChanged = false;
+
+  private isStopped = false;
+
+  constructor(private readonly options: StreamJournalOptions) {}
+
+  /** Stops writing. */
+  stop(): void {
+    this.isStopped = true;
+    this.scheduled?.cancel();
+  }
+
+  /** Returns where a stream of this process began, or `undefined` if it began none of that key. */
+  find(key: StreamKey): RecordedOrigin | undefined {
+    return this.streams.get(key);
+  }
+
+  /** Records where a stream began. */
+  record(key: StreamKey, { service, version }: RecordedOrigin): void {
+    const { timers, getRetentionMs } = this.options;
+    this.streams.delete(key);
+    this.streams.set(key, { service, version, expiresAt: timers.now() + getRetentionMs() });
+    if (this.streams.size > STREAMS_MAX) {
+      const [oldest] = this.streams.keys();
+      this.streams.delete(oldest!);
+    }
+    this.isChanged = true;
+    this.schedule(this.getWriteDelayMs());
+  }
+
+  /** Writes the record soon: what it says is needed elsewhere, or the store has lost it. */
+  writeSoon(): void {
+    if (this.streams.size > 0 || this.hasSeveralVersions()) {
+      this.isChanged = true;
+      this.schedule(0);
+    }
+  }
+
+  private hasSeveralVersions(): boolean {
+    return [...this.options.getVersions().values()].some(({ size }) => size > 1);
+  }
+
+  private getWriteDelayMs(): number {
+    const delayMs = this.hasSeveralVersions() ? WRITE_DELAY_SEVERAL_VERSIONS_MS : WRITE_DELAY_MS;
+    return Math.max(delayMs, this.options.getVmCount() * WRITE_DELAY_PER_VM_MS);
+  }
+
+  /** Writes after a delay, unless a write is due earlier. One that is in progress schedules the next itself. */
+  private schedule(delayMs: number): void {
+    const { timers } = this.options;
+    const at = timers.now() + delayMs;
+    if (this.isStopped || this.isWriting || (this.scheduled && this.scheduled.at <= at)) {
+      return;
+    }
+    this.scheduled?.cancel();
+    const cancel = timers.subscribe(delayMs, () => {
+      this.scheduled = undefined;
+      this.write().catch((error: unknown) => {
+        this.options.logger.error('writing the record of streams failed unexpectedly', {
+          error: getErrorMessage(error),
+        });
+      });
+    });
+    this.scheduled = { at, cancel };
+  }
+
+  private async write(): Promise<void> {
+    const { store, topic, run, logger, metrics } = this.options;
+    this.isWriting = true;
+    this.isChanged = false;
+    try {
+      const value = encodeStreamRecord(this.createRows());
+      const result = await store.append({ topic, key: run, value });
+      metrics.streamRecordWrites.inc({ outcome: result.ok ? 'stored' : result.val.kind });
+      if (result.err) {
+        this.isChanged = true;
+        logger.warn('record of streams not stored; retrying', { ...result.val });
+      }
+      this.isWriting = false;
+      if (this.isChanged) {
+        this.schedule(result.ok ? this.getWriteDelayMs() : RETRY_DELAY_MS);
+      }
+    } finally {
+      this.isWriting = false;
+    }
+  }
+
+  private createRows(): VersionStreams[] {
+    this.dropExpired();
+    const keys = new Map<ServiceName, Map<SeenVersion, StreamKey[]>>();
+    const getKeys = (service: ServiceName, version: SeenVersion) =>
+      getOrCreate(
+        getOrCreate(keys, service, () => new Map<SeenVersion, StreamKey[]>()),
+        version,
+        () => [],
+      );
+    this.options
+      .getVersions()
+      .forEach((versions, service) => versions.forEach((version) => getKeys(service, version)));
+    this.streams.forEach(({ service, version }, key) => getKeys(service, version).push(key));
+    return [...keys].flatMap(([service, byVersion]) =>
+      [...byVersion].map(([version, streams]) => ({ service, version, streams })),
+    );
+  }
+
+  private dropExpired(): void {
+    const now = this.options.timers.now();
+    // A longer retention of a later configuration does not change the order much; expired streams in between are kept longer.
+    for (const [key, { expiresAt }] of this.streams) {
+      if (expiresAt > now) {
+        return;
+      }
+      this.streams.delete(key);
+    }
+  }
+}
--- /dev/null
+++ b/src/gateway/streams/streamRecord.ts
@@ -0,0 +1,58 @@
+/** The stored record of the streams that one process began. */
+import { decode, encode } from '@msgpack/msgpack';
+import * as z from 'zod';
+import { checkShape } from '../../core/shapes.js';
+import type { Result } from '../../core/results.js';
+import { brandId, type ServiceName, type SoftwareVersion } from '../../types/ids.js';
+import { STREAM_KEY_BYTES, type StreamKey } from './streamKey.js';
+import type { SeenVersion } from './versionHistory.js';
+
+/** The streams of one service that began at one version. A version that was only seen has none. */
+export interface VersionStreams {
+  readonly service: ServiceName;
+  readonly version: SeenVersion;
+  readonly streams: readonly StreamKey[];
+}
+
+const FORMAT_VERSION = 1;
+const keysSchema = z
+  .instanceof(Uint8Array)
+  .refine(({ length }) => length % STREAM_KEY_BYTES === 0, 'length of the keys');
+/** The name of the service, the version or `null` for one that can't be used, and the keys one after another. */
+const rowSchema = z.tuple([z.string(), z.string().nullable(), keysSchema]);
+const recordSchema = z.tuple([z.literal(FORMAT_VERSION), z.array(rowSchema)]);
+
+/**
+ * Encodes a record. Throws if the result could not be decoded.
+ *
+ * @example
+ * encodeStreamRecord([{ service, version, streams: [getStreamKey(workspace, callId)] }]);
+ */
+export function encodeStreamRecord(rows: readonly VersionStreams[]): Uint8Array {
+  const record: z.input<typeof recordSchema> = [
+    FORMAT_VERSION,
+    rows.map(({ service, version, streams }) => [
+      service,
+      version ?? null,
+      Buffer.from(streams.join(''), 'latin1'),
+    ]),
+  ];
+  return encode(recordSchema.parse(record));
+}
+
+/** Decodes a record; returns an error that describes what is malformed. */
+export function decodeStreamRecord(bytes: Uint8Array): Result<VersionStreams[], string> {
+  return checkShape(recordSchema, () => decode(bytes)).map(([, rows]) =>
+    rows.map(([service, version, keys]) => ({
+      service: brandId<ServiceName>(service),
+      version: version === null ? undefined : brandId<SoftwareVersion>(version),
+      streams: splitKeys(Buffer.from(keys).toString('latin1')),
+    })),
+  );
+}
+
+function splitKeys(text: string): StreamKey[] {
+  return Array.from({ length: text.length / STREAM_KEY_BYTES }, (_, index) =>
+    brandId<StreamKey>(text.slice(index * STREAM_KEY_BYTES, (index + 1) * STREAM_KEY_BYTES)),
+  );
+}
--- /dev/null
+++ b/tests/gateway/resumedStreams.test.ts
@@ -0,0 +1,203 @@
+/** Failure: a caller takes a stream up again, and gets the rest from another software version than the first part. */
+import { test, type TestContext } from 'node:test';
+import { expect } from 'earl';
+import { createRoute, GatewayFleet, sendEvents } from '../support/gatewayFleet.js';
+
+const TIMEOUT = { timeout: 30_000 };
+const CALLS = 12; // the placement is random
+const route = createRoute('/s/', { isStream: true, repeatability: 'resumable', attempts: 1 });
+
+/** Starts one endpoint for each version. Each breaks a new stream off after two of four events, and completes a resumed one. */
+async function startFleet(
+  context: TestContext,
+  versions: readonly (string | null)[],
+): Promise<GatewayFleet> {
+  const fleet = await GatewayFleet.start(context);
+  await fleet.configure([route]);
+  for (const [index, version] of versions.entries()) {
+    await addEndpoint(fleet, `e${index}`, version);
+  }
+  return fleet;
+}
+
+async function addEndpoint(fleet: GatewayFleet, id: string, version: string | null): Promise<void> {
+  await fleet.addEndpoint(
+    id,
+    (message, response) => {
+      const last = message.headers['last-event-id'];
+      sendEvents(message, response, []);
+      const ids = last === undefined ? [1, 2] : [3, 4];
+      response.write(ids.map((event) => `id: ${event}\ndata: ${version}\n\n`).join(''), () =>
+        last === undefined ? response.destroy() : response.end(),
+      );
+    },
+    { version },
+  );
+}
+
+function getVersions(body: string): string[] {
+  return [...body.matchAll(/data: (\S+)/g)].map(([, version]) => version!);
+}
+
+/** Begins a stream, which breaks off. Returns its version. */
+async function begin(fleet: GatewayFleet, id: string): Promise<string> {
+  const { body } = await fleet.call('/s/x', { 'shallotrock-attempt-id': id });
+  return getVersions(body)[0]!;
+}
+
+function resume(fleet: GatewayFleet, resumes: string, headers: Record<string, string> = {}) {
+  return fleet.call('/s/x', { 'last-event-id': '2', resumes, ...headers });
+}
+
+test(
+  'a stream is taken up at the version that began it, at the same vm and at any other',
+  TIMEOUT,
+  async (context) => {
+    const fleet = await startFleet(context, ['v1', 'v2', 'v1', 'v2']);
+    const versions: string[] = [];
+    for (let call = 0; call < CALLS; call += 1) {
+      versions.push(await begin(fleet, `stream-${call}`));
+      const { status, body } = await resume(fleet, `stream-${call}`);
+      expect([status, ...getVersions(body)]).toEqual([200, versions[call]!, versions[call]!]);
+    }
+    expect(new Set(versions).size).toEqual(2);
+    // The record of the last stream is written a little later.
+    await fleet.settle();
+    await fleet.settle();
+    const peer = await fleet.startPeer(context, 2);
+    for (let call = 0; call < CALLS; call += 1) {
+      const { status, body } = await resume(peer, `stream-${call}`);
+      expect([status, ...getVersions(body)]).toEqual([200, versions[call]!, versions[call]!]);
+    }
+  },
+);
+
+test(
+  'a stream whose record was lost is not taken up while two versions serve',
+  TIMEOUT,
+  async (context) => {
+    const fleet = await startFleet(context, ['v1', 'v2']);
+    await begin(fleet, 'stream');
+    const peer = await fleet.startPeer(context, 2);
+    fleet.removeStreamRecords();
+    const refused = await resume(peer, 'stream');
+    expect([refused.status, JSON.parse(refused.body).error.code]).toEqual([
+      503,
+      'streamVersionUnknown',
+    ]);
+    expect(Number(refused.headers['retry-after'])).toBeGreaterThan(0);
+    // Without the name of the stream, nothing tells its version either.
+    const unnamed = await peer.call('/s/x', { 'last-event-id': '2' });
+    expect(unnamed.status).toEqual(503);
+  },
+);
+
+test(
+  'a stream of a version that has left is refused, not joined with the next version',
+  TIMEOUT,
+  async (context) => {
+    const fleet = await startFleet(context, ['v1']);
+    await begin(fleet, 'stream');
+    await addEndpoint(fleet, 'new', 'v2');
+    fleet.removeEndpoint('e0');
+    await fleet.waitFor(() => fleet.gateway.directory.getSize() === 1);
+    await fleet.waitFor(() => fleet.countStreamRecords() > 0);
+    const peer = await fleet.startPeer(context, 2);
+    for (const gateway of [fleet, peer]) {
+      const refused = await resume(gateway, 'stream');
+      expect([refused.status, JSON.parse(refused.body).error.code]).toEqual([
+        503,
+        'streamVersionGone',
+      ]);
+    }
+  },
+);
+
+test(
+  'a vm that starts after the old version has left knows from the records that there was one',
+  TIMEOUT,
+  async (context) => {
+    const fleet = await startFleet(context, ['v1']);
+    await begin(fleet, 'stream');
+    await addEndpoint(fleet, 'new', 'v2');
+    fleet.removeEndpoint('e0');
+    await fleet.waitFor(() => fleet.gateway.directory.getSize() === 1);
+    await fleet.waitFor(() => fleet.countStreamRecords() > 0);
+    const peer = await fleet.startPeer(context, 2);
+    // Begun in the last moment before a kill, so that no record names it.
+    expect((await resume(peer, 'another stream')).status).toEqual(503);
+  },
+);
+
+test(
+  'while one version serves, a stream without a record is taken up',
+  TIMEOUT,
+  async (context) => {
+    const fleet = await startFleet(context, ['v1', 'v1']);
+    await begin(fleet, 'stream');
+    const peer = await fleet.startPeer(context, 2);
+    fleet.removeStreamRecords();
+    const { status, body } = await resume(peer, 'stream');
+    expect([status, getVersions(body)]).toEqual([200, ['v1', 'v1']]);
+  },
+);
+
+test(
+  'streams are taken up without the store: those of the vm, and all while one version has served',
+  TIMEOUT,
+  async (context) => {
+    const fleet = await startFleet(context, ['v1', 'v1']);
+    const peer = await fleet.startPeer(context, 2);
+    fleet.setStreamRecordsUnavailable(true);
+    await begin(fleet, 'stream');
+    expect((await resume(fleet, 'stream')).status).toEqual(200);
+    expect((await resume(peer, 'stream')).status).toEqual(200);
+    await addEndpoint(fleet, 'new', 'v2');
+    await peer.waitFor(() => peer.gateway.directory.getSize() === 3);
+    expect((await resume(fleet, 'stream')).status).toEqual(200);
+    expect((await resume(peer, 'stream')).status).toEqual(503);
+    fleet.setStreamRecordsUnavailable(false);
+    await fleet.waitFor(() => fleet.countStreamRecords() > 0);
+    expect((await resume(peer, 'stream')).status).toEqual(200);
+  },
+);
+
+test(
+  'a third call names the first one, whichever vm served the second',
+  TIMEOUT,
+  async (context) => {
+    const fleet = await startFleet(context, ['v1', 'v2', 'v1', 'v2']);
+    const version = await begin(fleet, 'first');
+    await fleet.waitFor(() => fleet.countStreamRecords() > 0);
+    await fleet.settle();
+    await fleet.settle();
+    const peer = await fleet.startPeer(context, 2);
+    for (const id of ['second', 'third', 'fourth']) {
+      const { body } = await resume(peer, 'first', { 'shallotrock-attempt-id': id });
+      expect(getVersions(body)).toEqual([version, version]);
+    }
+  },
+);
+
+test(
+  'a stream that began at an endpoint of an unusable version is not taken up',
+  TIMEOUT,
+  async (context) => {
+    const fleet = await startFleet(context, [null, null]);
+    await begin(fleet, 'stream');
+    expect((await resume(fleet, 'stream')).status).toEqual(503);
+  },
+);
+
+test(
+  'a stream of another workspace or a header that is repeated gives no version',
+  TIMEOUT,
+  async (context) => {
+    const fleet = await startFleet(context, ['v1', 'v2']);
+    await begin(fleet, 'stream');
+    const tooLong = await resume(fleet, 'x'.repeat(8_000));
+    expect(tooLong.status).toEqual(503);
+    const empty = await resume(fleet, '');
+    expect(empty.status).toEqual(503);
+  },
+);
--- a/tests/support/gatewayFleet.ts
+++ b/tests/support/gatewayFleet.ts
@@ -11,7 +11,7 @@
 import type { TestContext } from 'node:test';
 import { decodeEndpointEntry } from '../../platform/endpointEntry.js';
 import { PlatformHeaders } from '../../platform/headerCodec.js';
-import { Ok, type Result } from '../../src/core/results.js';
+import { Err, Ok, type Result } from '../../src/core/results.js';
 import { createLogger } from '../../src/core/logging.js';
 import { createMetrics } from '../../src/core/metrics.js';
 import { SystemTimers, VirtualTimers } from '../../src/core/timers.js';
@@ -36,7 +36,9 @@
 const ENDPOINT_TOPIC = { name: 'endpoints', part: 0 };
 const CALL_INTERVAL_MS = 50;
 const SETTLE_MS = 200;
+const UNAVAILABLE = { kind: 'unavailable', detail: 'simulated' } as const;
 const POISON_TOPIC = { name: 'poison', part: 0 };
+const STREAM_TOPIC = { name: 'streams', part: 0 };
 /** The host of all routes. */
 export const HOST = 'yard.example';
 
@@ -49,7 +51,13 @@
 
   private readonly waitingReads = new Set<() => void>();
 
+  /** The name of a topic whose calls fail. */
+  unavailableTopic: string | undefined;
+
   readNewest(topic: Topic): Promise<Result<NewestRecords, StoreFailure>> {
+    if (topic.name === this.unavailableTopic) {
+      return Promise.resolve(Err(UNAVAILABLE));
+    }
     return Promise.resolve(this.server.readNewest(topic));
   }
 
@@ -63,6 +71,9 @@
   }
 
   append(options: KeyedAppendOptions): Promise<Result<never, StoreFailure>> {
+    if (options.topic.name === this.unavailableTopic) {
+      return Promise.resolve(Err(UNAVAILABLE));
+    }
     const result = this.server.append(options);
     this.resolveWaitingReads();
     return Promise.resolve(result as Result<never, StoreFailure>);
@@ -82,6 +93,16 @@
     this.resolveWaitingReads();
   }
 
+  /** Returns the keys that have a value. */
+  getKeys(topic: Topic): string[] {
+    const { records } = this.server.readNewest(topic).unwrap();
+    return records.flatMap(({ key, value }) => (value ? [key] : []));
+  }
+
+  removeAll(topic: Topic): void {
+    this.getKeys(topic).forEach((key) => this.remove(topic, key));
+  }
+
   resolveWaitingReads(): void {
     this.waitingReads.forEach((resolve) => resolve());
     this.waitingReads.clear();
@@ -141,8 +162,6 @@
   /** How endpoints warm up, from the next configuration on. */
   warmup: WarmupConfig | undefined;
 
-  private readonly store = new MemoryStore();
-
   private readonly timers = new SystemTimers();
 
   private readonly metrics = createMetrics();
@@ -159,13 +178,17 @@
 
   private markerCount = 0;
 
-  private constructor(private readonly ports: readonly number[]) {
+  private constructor(
+    private readonly ports: readonly number[],
+    private readonly store: MemoryStore,
+    index: number,
+  ) {
     const { timers } = this;
-    const address = (index: number) => ({ host: '127.0.0.1', port: ports[index]! });
+    const address = (offset: number) => ({ host: '127.0.0.1', port: ports[offset]! });
     const client = new HttpPeerClient({ sharedKey: 'k'.repeat(16), getAddress: () => undefined });
     this.gateway = new Gateway({
       deployment: {
-        vm: brandId('vm1'),
+        vm: brandId(`vm${index}`),
         availabilityZone: brandId('z'),
         callerAddress: address(0),
         readinessAddress: address(1),
@@ -194,21 +217,40 @@
         endpointTopic: ENDPOINT_TOPIC,
         accountTopic: 'accounts',
         poisonTopic: POISON_TOPIC,
+        streamTopic: STREAM_TOPIC,
         readinessPath: '/ready',
       },
       timers,
       logger: createLogger({ level: 'error' }),
       metrics: this.metrics,
-      run: brandId('run1'),
+      run: brandId(`run${index}`),
       sharedKey: 'k'.repeat(16),
       createPeerClient: () => client,
     });
   }
 
   /** Starts a gateway, which stops at the end of the test. */
-  static async start(context: TestContext): Promise<GatewayFleet> {
+  static start(context: TestContext): Promise<GatewayFleet> {
+    return GatewayFleet.startOn(context, new MemoryStore(), 1);
+  }
+
+  /** Starts another gateway on the same store, and waits until it serves; it stops at the end of the test. */
+  async startPeer(context: TestContext, index: number): Promise<GatewayFleet> {
+    const peer = await GatewayFleet.startOn(context, this.store, index);
+    const { gateway } = peer;
+    await this.waitFor(() => gateway.config.getVersion() === this.version);
+    await this.waitFor(() => gateway.directory.getSize() === this.gateway.directory.getSize());
+    await this.waitFor(() => gateway.escrow.isReady());
+    return peer;
+  }
+
+  private static async startOn(
+    context: TestContext,
+    store: MemoryStore,
+    index: number,
+  ): Promise<GatewayFleet> {
     const ports = await Promise.all([findFreePort(), findFreePort(), findFreePort()]);
-    const fleet = new GatewayFleet(ports);
+    const fleet = new GatewayFleet(ports, store, index);
     context.after(() => fleet.close());
     fleet.port = await fleet.gateway.start();
     [, fleet.readinessPort = 0] = ports;
@@ -292,6 +334,21 @@
     this.store.put(CONFIG_TOPIC, key, text);
   }
 
+  /** Removes the records of streams, as a process that was killed early leaves none. */
+  removeStreamRecords(): void {
+    this.store.removeAll(STREAM_TOPIC);
+  }
+
+  /** Returns the number of records of streams. */
+  countStreamRecords(): number {
+    return this.store.getKeys(STREAM_TOPIC).length;
+  }
+
+  /** Refuses all calls to the store for the records of streams, or accepts them again. */
+  setStreamRecordsUnavailable(isUnavailable: boolean): void {
+    this.store.unavailableTopic = isUnavailable ? STREAM_TOPIC.name : undefined;
+  }
+
   /** Removes a key of the configuration's topic. */
   removeOperatorRecord(key: string): void {
     this.store.remove(CONFIG_TOPIC, key);
