--- a/src/gateway/call.ts
+++ b/src/gateway/call.ts
@@ -1,9 +1,9 @@
 /** The state of one call while the gateway processes it. */
 import type { Refusal } from '../core/codes.js';
 import type { TokenHold } from '../escrow/escrowController.js';
-import type { CallMetadata, Route, Workspace } from '../types/gateway.js';
+import type { CallMetadata, Route, StreamOrigin, Workspace } from '../types/gateway.js';
 import { getCallFeature, getPartFeatures } from '../poison/features.js';
-import type { ServiceName } from '../types/ids.js';
+import type { ServiceName, SoftwareVersion } from '../types/ids.js';
 import type { Feature } from '../types/poison.js';
 import type { CallerConnection } from './callerConnection.js';
 import type { ActiveConfig } from './configController.js';
@@ -29,6 +29,9 @@
   /** Set by `holdTokens` if the workspace has a token limit. */
   hold: TokenHold | undefined;
 
+  /** Where the stream began; `undefined` until it has. */
+  origin: StreamOrigin | undefined;
+
   /** Whether an endpoint may have executed the call. */
   mayHaveRun = false;
 
@@ -47,6 +50,9 @@
   /** The endpoint and result of each attempt, for the log. */
   readonly attempts: string[] = [];
 
+  /** The software version of the endpoint of each attempt of a stream, for the log. */
+  readonly attemptVersions: (SoftwareVersion | undefined)[] = [];
+
   private features: readonly Feature[] | undefined;
 
   constructor(
--- a/src/types/gateway.ts
+++ b/src/types/gateway.ts
@@ -5,6 +5,7 @@
   Era,
   Offset,
   ServiceName,
+  SoftwareVersion,
   VmId,
   WorkspaceId,
 } from './ids.js';
@@ -113,6 +114,8 @@
   readonly port: number;
   readonly availabilityZone: AvailabilityZone;
   readonly slots: number;
+  /** `undefined` if the stated one can't be used; empty if none is stated. */
+  readonly softwareVersion?: SoftwareVersion | undefined;
   readonly state: 'ready' | 'leaving';
   /** Remaining warm-up time, in which the endpoint is slow, in milliseconds; `undefined` if the stated one is unusable. */
   readonly warmupMs: number | undefined;
@@ -120,6 +123,12 @@
   readonly problems?: readonly string[] | undefined;
 }
 
+/** Where a stream began; it may go on only at endpoints of the same software version. */
+export interface StreamOrigin {
+  /** `undefined` if the version is unknown; then no endpoint may continue the stream. */
+  readonly version: SoftwareVersion | undefined;
+}
+
 /** An entry with the offset of the store's record that it was read from. */
 export interface ListedEndpoint extends EndpointEntry {
   readonly offset: Offset;
@@ -160,6 +169,8 @@
   readonly expectedOutputTokens: number | undefined;
   /** Id of the last event that the caller received of the stream that it resumes. */
   readonly lastEventId: string | undefined;
+  /** Id of the call that brought the first event of that stream; `undefined` if the caller names none. */
+  readonly resumedCallId?: string | undefined;
   /** Whether the call has a body, which may be empty. */
   readonly hasBody: boolean;
   /** Headers to forward to the endpoint, alternating between name and value. */
