Take a stream without a record up only if no record names a second version

What callers saw: nothing yet; found in review.

Cause: a missing record counted as an origin as soon as this process had read the records once and had seen one version itself. Both may be older than the stream.

Change: a process names each version before its streams begin there, also the first one, and renews its record. A missing record counts only if all records were read after the call arrived, name one version, and the route has one service. A request during a write is kept with its delay. After an append without an answer the record is written once more.

--- a/src/gateway/filters/forwardCall.ts
+++ b/src/gateway/filters/forwardCall.ts
@@ -274,8 +274,8 @@
     if (this.call.origin && matching.length === 0) {
       return Err(createRefusal('streamVersionGone', { retryAfterMs: NO_ENDPOINT_RETRY_AFTER_MS }));
     }
-    const eligible = matching.filter(
-      (endpoint) => !this.triedEndpoints.has(endpoint) && endpoint.isEligible(now),
+    const eligible = this.preferAnnounced(
+      matching.filter((endpoint) => !this.triedEndpoints.has(endpoint) && endpoint.isEligible(now)),
     );
     const available = eligible.filter((endpoint) => endpoint.isAvailable(now));
     // A call that an endpoint with a limit could take now and does not get is lost to it; the others get all the more.
@@ -301,6 +301,22 @@
       : endpoints;
   }
 
+  /**
+   * Leaves out endpoints of versions that other vms can't know of yet, unless there are no others: a stream that begins
+   * there could be taken up at another version.
+   */
+  private preferAnnounced(endpoints: readonly EndpointInstance[]): readonly EndpointInstance[] {
+    const { origin, route, service } = this.call;
+    if (origin || route.repeatability !== 'resumable') {
+      return endpoints;
+    }
+    const { origins } = this.options;
+    const announced = endpoints.filter(({ entry }) =>
+      origins.isAnnounced(service, entry.softwareVersion),
+    );
+    return announced.length > 0 ? announced : endpoints;
+  }
+
   private placeByOwnCalls(
     candidates: readonly EndpointInstance[],
   ): Result<EndpointInstance, Refusal> {
--- a/src/gateway/filters/resolveStream.ts
+++ b/src/gateway/filters/resolveStream.ts
@@ -5,9 +5,6 @@
 import type { GatewayCall } from '../call.js';
 import type { StreamOrigins } from '../streams/streamOrigins.js';
 
-/** A record that is still to be written has been stored by then. */
-const RETRY_AFTER_MS = 500;
-
 /** Sets `origin` of a call that takes a stream up, and the service that began it. */
 export class ResolveStream extends Filter<GatewayCall> {
   override readonly name = 'resolveStream';
@@ -29,7 +26,7 @@
       return Err(
         createRefusal('streamVersionUnknown', {
           detail: decision.reason,
-          retryAfterMs: RETRY_AFTER_MS,
+          retryAfterMs: this.origins.getRetryAfterMs(),
         }),
       );
     }
@@ -38,7 +35,7 @@
       return Err(
         createRefusal('streamVersionGone', {
           detail: 'the route no longer leads to the service that began the stream',
-          retryAfterMs: RETRY_AFTER_MS,
+          retryAfterMs: this.origins.getRetryAfterMs(),
         }),
       );
     }
--- a/src/gateway/gateway.ts
+++ b/src/gateway/gateway.ts
@@ -588,6 +588,7 @@
         this.directory.getEndpoints(service).map(({ entry }) => entry.softwareVersion),
       isSweeper: () => this.shards[0]!.homes.getOrder(STREAM_KEY)[0] === deployment.vm,
       getVmCount: () => this.shards[0]!.ledger.holders.size,
+      random: this.getRandom(),
     });
   }
 
--- a/src/gateway/streams/decideOrigin.ts
+++ b/src/gateway/streams/decideOrigin.ts
@@ -14,10 +14,12 @@
   readonly recorded: readonly RecordedOrigin[];
   /** The service that the route chose for the call. */
   readonly service: ServiceName;
+  /** Whether the route leads to that service only. */
+  readonly isOnlyService: boolean;
   /** The versions of that service that this process or a record has seen within the retention. */
   readonly seenVersions: ReadonlySet<SeenVersion>;
-  /** Whether `seenVersions` covers the whole retention. */
-  readonly isCovered: boolean;
+  /** Whether all records were read after the call arrived. */
+  readonly isCurrent: boolean;
 }
 
 /** The decision, with the reason. */
@@ -31,34 +33,35 @@
     }
   | {
       readonly kind: 'unknown';
-      readonly reason: 'contradictory' | 'unusableVersion' | 'notRecorded' | 'notCovered';
+      readonly reason: 'contradictory' | 'unknownVersion' | 'notRecorded' | 'recordsNotRead';
     };
 
 /**
- * Returns where a stream began. A missing record counts only while nothing shows a second version: it may also mean that
- * the process ended before it wrote the record.
+ * Returns where a stream began. A missing record may mean that the process ended before it wrote the record. So it counts
+ * only if the records as of now name no second version: a process names a version before its streams begin there.
  *
  * @example
- * decideOrigin({ recorded: [], service, seenVersions: new Set([v1, v2]), isCovered: true }); // unknown: notRecorded
+ * decideOrigin({ recorded: [], service, isOnlyService: true, seenVersions: new Set([v1, v2]), isCurrent: true });
+ * // unknown: notRecorded
  */
 export function decideOrigin(inputs: OriginInputs): OriginDecision {
-  const { recorded, service, seenVersions, isCovered } = inputs;
+  const { recorded, service, isOnlyService, seenVersions, isCurrent } = inputs;
   const [first, ...others] = recorded;
   if (first) {
     if (others.some((other) => !isSameOrigin(other, first))) {
       return { kind: 'unknown', reason: 'contradictory' };
     }
     return first.version === undefined
-      ? { kind: 'unknown', reason: 'unusableVersion' }
+      ? { kind: 'unknown', reason: 'unknownVersion' }
       : { kind: 'known', service: first.service, version: first.version, reason: 'recorded' };
   }
-  if (!isCovered) {
-    return { kind: 'unknown', reason: 'notCovered' };
-  }
   const [version, ...otherVersions] = seenVersions;
-  return version === undefined || otherVersions.length > 0
-    ? { kind: 'unknown', reason: 'notRecorded' }
-    : { kind: 'known', service, version, reason: 'onlyVersion' };
+  if (version === undefined || otherVersions.length > 0 || !isOnlyService) {
+    return { kind: 'unknown', reason: 'notRecorded' };
+  }
+  return isCurrent
+    ? { kind: 'known', service, version, reason: 'onlyVersion' }
+    : { kind: 'unknown', reason: 'recordsNotRead' };
 }
 
 function isSameOrigin(a: RecordedOrigin, b: RecordedOrigin): boolean {
--- a/src/gateway/streams/streamJournal.ts
+++ b/src/gateway/streams/streamJournal.ts
@@ -25,6 +25,8 @@
   readonly getRetentionMs: () => number;
   /** Returns the number of vms that write to the topic. */
   readonly getVmCount: () => number;
+  /** In [0, 1). */
+  readonly random: () => number;
 }
 
 interface OwnStream extends RecordedOrigin {
@@ -38,6 +40,10 @@
 const RETRY_DELAY_MS = 500;
 /** One partition takes an append every 4 ms, so that it is busy for less than half of the time. */
 const WRITE_DELAY_PER_VM_MS = 10;
+/** An append without an answer may take effect after a newer one; it has by then. */
+const LATE_APPEND_MS = 5_000;
+/** Part of the retention after which a record is written again, so that it does not count as one of an ended process. */
+const RENEWAL_SHARE = 0.5;
 /** The oldest streams beyond this are dropped, so that a record stays below the size limit of the store. */
 const STREAMS_MAX = 20_000;
 
@@ -50,7 +56,16 @@
 
   private isWriting = false;
 
-  private isChanged = false;
+  /** The delay until the next write that was requested during the current one. */
+  private requestedDelayMs: number | undefined;
+
+  /** Whether an append without an answer may still replace a newer record. */
+  private mayBeReplaced = false;
+
+  /** The versions that the stored record names, by service. */
+  private announced: ReadonlyMap<ServiceName, ReadonlySet<SeenVersion>> = new Map();
+
+  private cancelRenewal: Unsubscribe = () => {};
 
   private isStopped = false;
 
@@ -60,6 +75,18 @@
   stop(): void {
     this.isStopped = true;
     this.scheduled?.cancel();
+    this.cancelRenewal();
+  }
+
+  /** Returns whether the stored record of this process names a version, so that every other process can know of it. */
+  isAnnounced(service: ServiceName, version: SeenVersion): boolean {
+    return this.announced.get(service)?.has(version) ?? false;
+  }
+
+  /** Returns the longest time from the first event of a stream to its record, unless the store is slow, in milliseconds. */
+  getWriteDelayMs(): number {
+    const delayMs = this.hasSeveralVersions() ? WRITE_DELAY_SEVERAL_VERSIONS_MS : WRITE_DELAY_MS;
+    return Math.max(delayMs, this.options.getVmCount() * WRITE_DELAY_PER_VM_MS);
   }
 
   /** Returns where a stream of this process began, or `undefined` if it began none of that key. */
@@ -76,32 +103,31 @@
       const [oldest] = this.streams.keys();
       this.streams.delete(oldest!);
     }
-    this.isChanged = true;
     this.schedule(this.getWriteDelayMs());
   }
 
-  /** Writes the record soon: what it says is needed elsewhere, or the store has lost it. */
+  /**
+   * Writes the record soon: it names a new version, what it says is needed elsewhere, or the store has lost it. All
+   * processes may have the same reason, so each takes a different moment.
+   */
   writeSoon(): void {
-    if (this.streams.size > 0 || this.hasSeveralVersions()) {
-      this.isChanged = true;
-      this.schedule(0);
-    }
+    const { getVmCount, random } = this.options;
+    this.schedule(getVmCount() * WRITE_DELAY_PER_VM_MS * random());
   }
 
   private hasSeveralVersions(): boolean {
     return [...this.options.getVersions().values()].some(({ size }) => size > 1);
   }
 
-  private getWriteDelayMs(): number {
-    const delayMs = this.hasSeveralVersions() ? WRITE_DELAY_SEVERAL_VERSIONS_MS : WRITE_DELAY_MS;
-    return Math.max(delayMs, this.options.getVmCount() * WRITE_DELAY_PER_VM_MS);
-  }
-
-  /** Writes after a delay, unless a write is due earlier. One that is in progress schedules the next itself. */
+  /** Writes after a delay, unless a write is due earlier. */
   private schedule(delayMs: number): void {
     const { timers } = this.options;
     const at = timers.now() + delayMs;
-    if (this.isStopped || this.isWriting || (this.scheduled && this.scheduled.at <= at)) {
+    if (this.isWriting) {
+      this.requestedDelayMs = Math.min(delayMs, this.requestedDelayMs ?? delayMs);
+      return;
+    }
+    if (this.isStopped || (this.scheduled && this.scheduled.at <= at)) {
       return;
     }
     this.scheduled?.cancel();
@@ -118,25 +144,45 @@
 
   private async write(): Promise<void> {
     const { store, topic, run, logger, metrics } = this.options;
+    const rows = this.createRows();
     this.isWriting = true;
-    this.isChanged = false;
     try {
-      const value = encodeStreamRecord(this.createRows());
-      const result = await store.append({ topic, key: run, value });
+      const result = await store.append({ topic, key: run, value: encodeStreamRecord(rows) });
       metrics.streamRecordWrites.inc({ outcome: result.ok ? 'stored' : result.val.kind });
-      if (result.err) {
-        this.isChanged = true;
+      if (result.ok) {
+        this.announced = getVersionsOf(rows);
+      } else {
         logger.warn('record of streams not stored; retrying', { ...result.val });
       }
-      this.isWriting = false;
-      if (this.isChanged) {
-        this.schedule(result.ok ? this.getWriteDelayMs() : RETRY_DELAY_MS);
-      }
+      this.scheduleNext(result.ok, result.err && result.val.kind === 'unavailable');
     } finally {
       this.isWriting = false;
     }
   }
 
+  private scheduleNext(isStored: boolean, mayTakeEffect: boolean): void {
+    const { requestedDelayMs } = this;
+    this.isWriting = false;
+    this.requestedDelayMs = undefined;
+    if (!isStored) {
+      this.mayBeReplaced ||= mayTakeEffect;
+      this.schedule(RETRY_DELAY_MS * (1 + this.options.random()));
+      return;
+    }
+    if (requestedDelayMs !== undefined) {
+      this.schedule(requestedDelayMs);
+    }
+    if (this.mayBeReplaced) {
+      this.mayBeReplaced = false;
+      this.schedule(LATE_APPEND_MS);
+    }
+    this.cancelRenewal();
+    this.cancelRenewal = this.options.timers.subscribe(
+      this.options.getRetentionMs() * RENEWAL_SHARE,
+      () => this.schedule(0),
+    );
+  }
+
   private createRows(): VersionStreams[] {
     this.dropExpired();
     const keys = new Map<ServiceName, Map<SeenVersion, StreamKey[]>>();
@@ -166,3 +212,13 @@
     }
   }
 }
+
+function getVersionsOf(
+  rows: readonly VersionStreams[],
+): ReadonlyMap<ServiceName, ReadonlySet<SeenVersion>> {
+  const versions = new Map<ServiceName, Set<SeenVersion>>();
+  rows.forEach(({ service, version }) => {
+    getOrCreate(versions, service, () => new Set()).add(version);
+  });
+  return versions;
+}
--- a/src/gateway/streams/streamOrigins.ts
+++ b/src/gateway/streams/streamOrigins.ts
@@ -31,14 +31,18 @@
   /** Returns whether this process removes the records of ended processes; one of all processes does. */
   readonly isSweeper: () => boolean;
   readonly getVmCount: () => number;
+  /** In [0, 1). */
+  readonly random: () => number;
 }
 
 /** Callers take a stream up within their deadline, which is shorter. */
 const RETENTION_MIN_MS = 60_000;
 /** A caller may use the whole timeout of a route twice: until its stream breaks off, and once more. */
 const RETENTION_TIMEOUTS = 2;
-/** A call that waits longer for the store is decided by what is known. */
+/** A call does not wait longer for the store. */
 const LOOKUP_TIMEOUT_MS = 400;
+const RETRY_AFTER_MIN_MS = 500;
+const LOGGED_CHARACTERS_MAX = 64;
 
 /** The origins of streams. */
 export class StreamOrigins {
@@ -50,12 +54,9 @@
 
   private retentionMs = RETENTION_MIN_MS;
 
-  private readonly startedAt: number;
-
   constructor(private readonly options: StreamOriginsOptions) {
     const { timers, history } = options;
     const getRetentionMs = () => this.retentionMs;
-    this.startedAt = timers.now();
     this.journal = new StreamJournal({
       ...options,
       getRetentionMs,
@@ -91,6 +92,16 @@
     this.journal.writeSoon();
   }
 
+  /** Returns whether other processes can know that streams of this one may begin at a version of a service. */
+  isAnnounced(service: ServiceName, version: SeenVersion): boolean {
+    return this.journal.isAnnounced(service, version);
+  }
+
+  /** Returns after which time a record that is still to be written can be read, in milliseconds. */
+  getRetryAfterMs(): number {
+    return Math.max(RETRY_AFTER_MIN_MS, this.journal.getWriteDelayMs());
+  }
+
   /** Records the version at which the stream of a call began. */
   recordBegin({ workspace, metadata }: GatewayCall, origin: RecordedOrigin): void {
     this.journal.record(getStreamKey(workspace?.name, metadata.id), origin);
@@ -102,37 +113,41 @@
     const { resumedCallId } = metadata;
     const key =
       resumedCallId === undefined ? undefined : getStreamKey(workspace?.name, resumedCallId);
-    let inputs = this.getInputs(key, call.service);
-    let isRead: boolean | undefined;
-    if (inputs.recorded.length === 0) {
-      isRead = await this.refresh();
-      inputs = this.getInputs(key, call.service);
+    let inputs = this.getInputs(call, key, false);
+    // Without the name of the stream, a read could only show further versions.
+    if (inputs.recorded.length === 0 && (key !== undefined || inputs.seenVersions.size === 1)) {
+      inputs = this.getInputs(call, key, await this.refresh(call.deadline));
     }
     const decision = decideOrigin(inputs);
     this.options.metrics.resumedStreams.inc({ result: decision.reason });
     this.options.logger.info('stream taken up', {
       request: metadata.id,
-      resumes: resumedCallId,
-      lastEventId: metadata.lastEventId,
+      resumes: resumedCallId?.slice(0, LOGGED_CHARACTERS_MAX),
+      lastEventId: metadata.lastEventId?.slice(0, LOGGED_CHARACTERS_MAX),
       service: call.service,
       ...decision,
       seenVersions: [...inputs.seenVersions],
-      isRead,
+      isCurrent: inputs.isCurrent,
     });
     return decision;
   }
 
-  private async refresh(): Promise<boolean> {
+  private async refresh(deadline: number): Promise<boolean> {
     const { timers } = this.options;
+    const timeoutMs = Math.min(LOOKUP_TIMEOUT_MS, Math.max(0, deadline - timers.now()));
     let isRead = false;
     const read = this.index.refresh().then((isSuccessful) => {
       isRead = isSuccessful;
     });
-    await timers.isFulfilledWithin(read, LOOKUP_TIMEOUT_MS, () => {});
+    await timers.isFulfilledWithin(read, timeoutMs, () => {});
     return isRead;
   }
 
-  private getInputs(key: StreamKey | undefined, service: ServiceName): OriginInputs {
+  private getInputs(
+    { service, route }: GatewayCall,
+    key: StreamKey | undefined,
+    isRead: boolean,
+  ): OriginInputs {
     const { timers, history, getListedVersions } = this.options;
     const { index, journal, retentionMs } = this;
     const now = timers.now();
@@ -141,12 +156,13 @@
     return {
       recorded: own ? [own, ...stored] : stored,
       service,
+      isOnlyService: route.split.length === 1,
       seenVersions: new Set([
         ...getListedVersions(service),
         ...(history.getSince(now - retentionMs).get(service) ?? []),
         ...index.getVersions(service),
       ]),
-      isCovered: index.isComplete() || now - this.startedAt >= retentionMs,
+      isCurrent: isRead && index.isComplete(),
     };
   }
 }
--- a/tests/gateway/resumedStreams.test.ts
+++ b/tests/gateway/resumedStreams.test.ts
@@ -1,6 +1,7 @@
 /** Failure: a caller takes a stream up again, and gets the rest from another software version than the first part. */
 import { test, type TestContext } from 'node:test';
 import { expect } from 'earl';
+import { brandId, type ServiceName } from '../../src/types/ids.js';
 import { createRoute, GatewayFleet, sendEvents } from '../support/gatewayFleet.js';
 
 const TIMEOUT = { timeout: 30_000 };
@@ -77,10 +78,8 @@
   TIMEOUT,
   async (context) => {
     const fleet = await startFleet(context, ['v1', 'v2']);
-    await begin(fleet, 'stream');
     const peer = await fleet.startPeer(context, 2);
-    fleet.removeStreamRecords();
-    const refused = await resume(peer, 'stream');
+    const refused = await resume(peer, 'a stream of a vm that ended before it wrote');
     expect([refused.status, JSON.parse(refused.body).error.code]).toEqual([
       503,
       'streamVersionUnknown',
@@ -143,7 +142,7 @@
 );
 
 test(
-  'streams are taken up without the store: those of the vm, and all while one version has served',
+  'without the store a vm takes up its own streams only, although it has seen one version',
   TIMEOUT,
   async (context) => {
     const fleet = await startFleet(context, ['v1', 'v1']);
@@ -151,14 +150,66 @@
     fleet.setStreamRecordsUnavailable(true);
     await begin(fleet, 'stream');
     expect((await resume(fleet, 'stream')).status).toEqual(200);
+    // The streams of other vms may have begun at a version that this one can't know of.
+    const refused = await resume(peer, 'stream');
+    expect([refused.status, JSON.parse(refused.body).error.code]).toEqual([
+      503,
+      'streamVersionUnknown',
+    ]);
+    fleet.setStreamRecordsUnavailable(false);
     expect((await resume(peer, 'stream')).status).toEqual(200);
+  },
+);
+
+test(
+  'no stream begins at a version before the record that names it is stored',
+  TIMEOUT,
+  async (context) => {
+    const fleet = await startFleet(context, ['v1']);
+    await fleet.waitFor(() => fleet.countStreamRecords() > 0);
+    await fleet.settle();
+    fleet.setStreamRecordsUnavailable(true);
     await addEndpoint(fleet, 'new', 'v2');
-    await peer.waitFor(() => peer.gateway.directory.getSize() === 3);
-    expect((await resume(fleet, 'stream')).status).toEqual(200);
-    expect((await resume(peer, 'stream')).status).toEqual(503);
+    const versions: string[] = [];
+    for (let call = 0; call < CALLS; call += 1) {
+      versions.push(await begin(fleet, `stream-${call}`));
+    }
+    expect(new Set(versions)).toEqual(new Set(['v1']));
     fleet.setStreamRecordsUnavailable(false);
+    let version = 'v1';
+    while (version === 'v1') {
+      version = await begin(fleet, 'later');
+    }
+    expect(version).toEqual('v2');
+  },
+);
+
+test(
+  'a vm that ends before its first stream is recorded has named the version',
+  TIMEOUT,
+  async (context) => {
+    const fleet = await startFleet(context, ['v1']);
     await fleet.waitFor(() => fleet.countStreamRecords() > 0);
-    expect((await resume(peer, 'stream')).status).toEqual(200);
+    const peer = await fleet.startPeer(context, 2);
+    await begin(fleet, 'stream');
+    await addEndpoint(peer, 'new', 'v2');
+    peer.removeEndpoint('e0');
+    await peer.waitFor(() => peer.gateway.directory.getSize() === 1);
+    expect((await resume(peer, 'stream')).status).toEqual(503);
+  },
+);
+
+test(
+  'a stream without a record is not taken up on a route that leads to several services',
+  TIMEOUT,
+  async (context) => {
+    const fleet = await startFleet(context, ['v1']);
+    const split = [
+      { service: fleet.service, weight: 1 },
+      { service: brandId<ServiceName>('other'), weight: 0 },
+    ];
+    await fleet.configure([{ ...route, split }]);
+    expect((await resume(fleet, 'a stream of another vm')).status).toEqual(503);
   },
 );
 
