Search the records of streams without an object for each stream

What callers saw: nothing yet; found in review. With 195 records of 3,000 streams a process of 160 MB of heap ended, and 20 reads a second of smaller records took a third of a core.

Cause: each read created a map entry and an array for each stream of the fleet, and a record held up to 20,000 streams. Reads were 50 ms apart whatever the size of the fleet. A read that failed unexpectedly stopped all later ones.

Change: keys stay in the bytes of their records and are searched there, at multiples of their size. A record holds 4,000 streams at most. Reads are 2 ms apart for each vm. The next read follows whatever happened to the last one.

--- a/src/gateway/streams/streamIndex.ts
+++ b/src/gateway/streams/streamIndex.ts
@@ -1,12 +1,11 @@
 /** Reads the records of all processes about the streams that they began. */
 import type { Logger } from '../../core/logging.js';
 import type { TimerService } from '../../core/timers.js';
-import { getOrCreate } from '../../core/utilities.js';
 import type { ServiceName } from '../../types/ids.js';
 import type { KeyedStore, NewestRecords, Topic } from '../../types/store.js';
 import type { RecordedOrigin } from './decideOrigin.js';
 import type { StreamKey } from './streamKey.js';
-import { decodeStreamRecord, type VersionStreams } from './streamRecord.js';
+import { decodeStreamRecord, hasKey, type VersionStreams } from './streamRecord.js';
 import type { SeenVersion } from './versionHistory.js';
 
 /** Options of an index. */
@@ -15,6 +14,8 @@
   readonly topic: Topic;
   readonly timers: TimerService;
   readonly logger: Logger;
+  /** Returns the number of vms that read the topic. */
+  readonly getVmCount: () => number;
 }
 
 interface ReadRecord {
@@ -24,17 +25,15 @@
 }
 
 /** Many calls are taken up at once after a failure; they share reads that are this far apart. */
-const READ_INTERVAL_MS = 50;
+const READ_INTERVAL_MIN_MS = 50;
+/** The records of a larger fleet are larger together, and more vms read them. */
+const READ_INTERVAL_PER_VM_MS = 2;
 
 /** What the records said when they were last read. */
 export class StreamIndex {
   private records = new Map<string, ReadRecord>();
 
-  private origins = new Map<StreamKey, RecordedOrigin[]>();
-
-  private versions = new Map<ServiceName, Set<SeenVersion>>();
-
-  private currentRead: Promise<boolean> = Promise.resolve(true);
+  private currentRead: Promise<unknown> = Promise.resolve();
 
   /** A read that has not begun, so that it returns everything that was stored before now. */
   private nextRead: Promise<boolean> | undefined;
@@ -47,12 +46,15 @@
 
   /** Returns what the records say of a stream. */
   find(key: StreamKey): readonly RecordedOrigin[] {
-    return this.origins.get(key) ?? [];
+    return this.getRows()
+      .filter(({ keys }) => hasKey(keys, key))
+      .map(({ service, version }) => ({ service, version }));
   }
 
   /** Returns the versions of a service that the records name. */
   getVersions(service: ServiceName): ReadonlySet<SeenVersion> {
-    return this.versions.get(service) ?? new Set();
+    const rows = this.getRows().filter((row) => row.service === service);
+    return new Set(rows.map(({ version }) => version));
   }
 
   /** Returns whether every record was read since the start of this process. One that is malformed may name any stream. */
@@ -66,17 +68,24 @@
     return this.nextRead;
   }
 
+  private getRows(): readonly VersionStreams[] {
+    return [...this.records.values()].flatMap(({ rows }) => rows ?? []);
+  }
+
   private async readNext(): Promise<boolean> {
-    const { timers } = this.options;
+    const { timers, getVmCount } = this.options;
     await this.currentRead;
-    const waitMs = this.lastReadAt + READ_INTERVAL_MS - timers.now();
+    const intervalMs = Math.max(READ_INTERVAL_MIN_MS, getVmCount() * READ_INTERVAL_PER_VM_MS);
+    const waitMs = this.lastReadAt + intervalMs - timers.now();
     if (waitMs > 0) {
       await timers.sleep(waitMs);
     }
     this.nextRead = undefined;
     this.lastReadAt = timers.now();
-    this.currentRead = this.read();
-    return this.currentRead;
+    const read = this.read();
+    // A read that fails unexpectedly must not stop the next ones.
+    this.currentRead = read.catch(() => {});
+    return read;
   }
 
   private async read(): Promise<boolean> {
@@ -100,9 +109,6 @@
         this.records.set(key, isSame ? previous : { value, rows: this.decode(key, value) });
       }
     });
-    this.origins = new Map();
-    this.versions = new Map();
-    this.records.forEach(({ rows }) => rows?.forEach((row) => this.addRow(row)));
     this.hasBeenRead = true;
   }
 
@@ -114,11 +120,4 @@
     }
     return rows.val;
   }
-
-  private addRow({ service, version, streams }: VersionStreams): void {
-    getOrCreate(this.versions, service, () => new Set()).add(version);
-    streams.forEach((stream) =>
-      getOrCreate(this.origins, stream, () => []).push({ service, version }),
-    );
-  }
 }
--- a/src/gateway/streams/streamJournal.ts
+++ b/src/gateway/streams/streamJournal.ts
@@ -7,7 +7,7 @@
 import type { KeyedStore, Topic } from '../../types/store.js';
 import type { RecordedOrigin } from './decideOrigin.js';
 import type { StreamKey } from './streamKey.js';
-import { encodeStreamRecord, type VersionStreams } from './streamRecord.js';
+import { encodeStreamRecord, joinKeys, type VersionStreams } from './streamRecord.js';
 import type { SeenVersion } from './versionHistory.js';
 
 /** Options of a journal. */
@@ -44,8 +44,8 @@
 const LATE_APPEND_MS = 5_000;
 /** Part of the retention after which a record is written again, so that it does not count as one of an ended process. */
 const RENEWAL_SHARE = 0.5;
-/** The oldest streams beyond this are dropped, so that a record stays below the size limit of the store. */
-const STREAMS_MAX = 20_000;
+/** The oldest streams beyond this are dropped: 200 records of this size are 6 MB, which each process may have to read. */
+const STREAMS_MAX = 4_000;
 
 /** The streams that this process began within the retention. */
 export class StreamJournal {
@@ -197,7 +197,7 @@
       .forEach((versions, service) => versions.forEach((version) => getKeys(service, version)));
     this.streams.forEach(({ service, version }, key) => getKeys(service, version).push(key));
     return [...keys].flatMap(([service, byVersion]) =>
-      [...byVersion].map(([version, streams]) => ({ service, version, streams })),
+      [...byVersion].map(([version, streams]) => ({ service, version, keys: joinKeys(streams) })),
     );
   }
 
--- a/src/gateway/streams/streamRecord.ts
+++ b/src/gateway/streams/streamRecord.ts
@@ -11,7 +11,8 @@
 export interface VersionStreams {
   readonly service: ServiceName;
   readonly version: SeenVersion;
-  readonly streams: readonly StreamKey[];
+  /** The keys of the streams, one after another. */
+  readonly keys: Buffer;
 }
 
 const FORMAT_VERSION = 1;
@@ -26,16 +27,12 @@
  * Encodes a record. Throws if the result could not be decoded.
  *
  * @example
- * encodeStreamRecord([{ service, version, streams: [getStreamKey(workspace, callId)] }]);
+ * encodeStreamRecord([{ service, version, keys: joinKeys([getStreamKey(workspace, callId)]) }]);
  */
 export function encodeStreamRecord(rows: readonly VersionStreams[]): Uint8Array {
   const record: z.input<typeof recordSchema> = [
     FORMAT_VERSION,
-    rows.map(({ service, version, streams }) => [
-      service,
-      version ?? null,
-      Buffer.from(streams.join(''), 'latin1'),
-    ]),
+    rows.map(({ service, version, keys }) => [service, version ?? null, new Uint8Array(keys)]),
   ];
   return encode(recordSchema.parse(record));
 }
@@ -46,13 +43,25 @@
     rows.map(([service, version, keys]) => ({
       service: brandId<ServiceName>(service),
       version: version === null ? undefined : brandId<SoftwareVersion>(version),
-      streams: splitKeys(Buffer.from(keys).toString('latin1')),
+      keys: Buffer.from(keys),
     })),
   );
 }
 
-function splitKeys(text: string): StreamKey[] {
-  return Array.from({ length: text.length / STREAM_KEY_BYTES }, (_, index) =>
-    brandId<StreamKey>(text.slice(index * STREAM_KEY_BYTES, (index + 1) * STREAM_KEY_BYTES)),
-  );
+/** Joins the keys of streams. */
+export function joinKeys(streams: readonly StreamKey[]): Buffer {
+  return Buffer.from(streams.join(''), 'latin1');
+}
+
+/**
+ * Returns whether joined keys contain the key of a stream. Keys are searched where they are, since an object for each
+ * stream of a large fleet needs more memory than a process has.
+ */
+export function hasKey(keys: Buffer, stream: StreamKey): boolean {
+  const bytes = Buffer.from(stream, 'latin1');
+  let position = keys.indexOf(bytes);
+  while (position >= 0 && position % STREAM_KEY_BYTES !== 0) {
+    position = keys.indexOf(bytes, position + 1);
+  }
+  return position >= 0;
 }
