Remove a record of streams only while its process has not written again

What callers saw: nothing yet; found in review. The record of a process that still served could be removed, so that its streams counted as never recorded.

Cause: records were compared by their bytes, which a renewal does not change, and removed without a condition after a read.

Change: records are compared by offset within an era, read again before each removal, and removed under the condition that nothing was appended since.

Result: the new test fails on the code before and passes.

--- a/src/gateway/streams/staleRecordSweeper.ts
+++ b/src/gateway/streams/staleRecordSweeper.ts
@@ -2,7 +2,8 @@
 import type { Logger } from '../../core/logging.js';
 import type { TimerService, Unsubscribe } from '../../core/timers.js';
 import { getErrorMessage } from '../../core/utilities.js';
-import type { KeyedStore, Topic } from '../../types/store.js';
+import type { Era, Offset } from '../../types/ids.js';
+import type { KeyedRecord, KeyedStore, Topic } from '../../types/store.js';
 
 /** Options of a sweeper. */
 export interface StaleRecordSweeperOptions {
@@ -20,8 +21,8 @@
 
 /** Reads the topic now and then, and removes the keys that have not changed since the last time. */
 export class StaleRecordSweeper {
-  /** The values at the last sweep; empty unless this process made it. */
-  private lastValues: ReadonlyMap<string, Uint8Array> = new Map();
+  /** The offsets of the records at the last sweep; `undefined` unless this process made it. */
+  private last: { readonly era: Era; readonly offsets: ReadonlyMap<string, Offset> } | undefined;
 
   private cancel: Unsubscribe = () => {};
 
@@ -47,29 +48,46 @@
 
   private async sweep(): Promise<void> {
     const { store, topic, logger, isResponsible } = this.options;
-    const { lastValues } = this;
-    this.lastValues = new Map();
+    const { last } = this;
+    this.last = undefined;
     const newest = isResponsible() ? await store.readNewest(topic) : undefined;
     if (!newest?.ok) {
       return;
     }
-    const values = newest.val.records.flatMap(({ key, value }) =>
-      value ? [[key, value] as const] : [],
-    );
-    this.lastValues = new Map(values);
-    const stale = values.filter(([key, value]) => {
-      const last = lastValues.get(key);
-      return last !== undefined && Buffer.compare(last, value) === 0;
-    });
-    for (const [key] of stale) {
+    const { records, era } = newest.val;
+    this.last = { era, offsets: new Map(records.map(({ key, offset }) => [key, offset])) };
+    const stale = last?.era === era ? records.filter((record) => isSame(record, last.offsets)) : [];
+    let removedCount = 0;
+    for (const record of stale) {
       // One after another: the partition serves the writers of new records too.
-      const removed = await store.append({ topic, key, value: undefined });
-      if (removed.err) {
-        return;
-      }
+      removedCount += (await this.remove(record)) ? 1 : 0;
     }
     if (stale.length > 0) {
-      logger.info('records of streams removed', { count: stale.length });
+      logger.info('records of streams removed', { removedCount, staleCount: stale.length });
     }
   }
+
+  /** Removes a record unless its process has written again, or any other one at the same moment. */
+  private async remove(record: KeyedRecord): Promise<boolean> {
+    const { store, topic } = this.options;
+    const newest = await store.readNewest(topic);
+    if (newest.err) {
+      return false;
+    }
+    const { records, end } = newest.val;
+    const isUnchanged = records.some(
+      ({ key, offset }) => key === record.key && offset === record.offset,
+    );
+    return (
+      isUnchanged && (await store.append({ topic, key: record.key, value: undefined, at: end })).ok
+    );
+  }
+}
+
+/** Returns whether a record has a value and the offset that its key had before. */
+function isSame(
+  { key, value, offset }: KeyedRecord,
+  offsets: ReadonlyMap<string, Offset>,
+): boolean {
+  return value !== undefined && offsets.get(key) === offset;
 }
