Send a call that names a stream to the version of the stream, also without its last event

What callers saw: nothing yet; found in review. A call with Resumes and without Last-Event-Id began anew at any version.

Cause: only Last-Event-Id counted as a take-up.

Change: either of the two headers does. Such a call brings the first event of a stream again, so it is recorded under its own id as well.

Result: the new test passes; before, the placement chose the version.

--- a/src/gateway/filters/forwardCall.ts
+++ b/src/gateway/filters/forwardCall.ts
@@ -156,6 +156,9 @@
 
   private isDeadlineExceeded = false;
 
+  /** Whether an endpoint has sent an event. */
+  private hasBegun = false;
+
   constructor(
     private readonly call: GatewayCall,
     private readonly options: ForwardCallOptions,
@@ -193,11 +196,13 @@
   private recordEvents(): void {
     const { call, currentAttempt, options } = this;
     call.firstEventAfterMs ??= Math.round(options.timers.now() - call.arrivedAt);
-    if (!call.origin) {
-      const version = currentAttempt?.softwareVersion;
-      call.origin = { version };
-      if (call.route.repeatability === 'resumable') {
-        options.origins.recordBegin(call, { service: call.service, version });
+    if (!this.hasBegun) {
+      this.hasBegun = true;
+      const origin = call.origin ?? { version: currentAttempt?.softwareVersion };
+      call.origin = origin;
+      // A stream that goes on is known by the call that began it.
+      if (call.route.repeatability === 'resumable' && call.metadata.lastEventId === undefined) {
+        options.origins.recordBegin(call, { service: call.service, version: origin.version });
       }
     }
     currentAttempt?.recordEvents();
--- a/src/gateway/filters/resolveStream.ts
+++ b/src/gateway/filters/resolveStream.ts
@@ -18,7 +18,8 @@
     next: () => Promise<FilterResult>,
   ): Promise<FilterResult> {
     const { route, metadata } = call;
-    if (!route.isStream || metadata.lastEventId === undefined) {
+    const { lastEventId, resumedCallId } = metadata;
+    if (!route.isStream || (lastEventId === undefined && resumedCallId === undefined)) {
       return next();
     }
     const decision = await this.origins.find(call);
--- a/tests/gateway/resumedStreams.test.ts
+++ b/tests/gateway/resumedStreams.test.ts
@@ -213,6 +213,19 @@
   },
 );
 
+test(
+  'a call that names a stream without its last event goes to the version of the stream',
+  TIMEOUT,
+  async (context) => {
+    const fleet = await startFleet(context, ['v1', 'v2']);
+    const version = await begin(fleet, 'stream');
+    for (let call = 0; call < CALLS; call += 1) {
+      const { body } = await fleet.call('/s/x', { resumes: 'stream' });
+      expect(new Set(getVersions(body))).toEqual(new Set([version]));
+    }
+  },
+);
+
 test(
   'a third call names the first one, whichever vm served the second',
   TIMEOUT,
