--- a/src/gateway/filters/forwardCall.ts
+++ b/src/gateway/filters/forwardCall.ts
@@ -156,6 +156,9 @@
 
   private isDeadlineExceeded = false;
 
+  /** Whether an endpoint has sent an event. */
+  private hasBegun = false;
+
   constructor(
     private readonly call: GatewayCall,
     private readonly options: ForwardCallOptions,
@@ -193,11 +196,13 @@
   private recordEvents(): void {
     const { call, currentAttempt, options } = this;
     call.firstEventAfterMs ??= Math.round(options.timers.now() - call.arrivedAt);
-    if (!call.origin) {
-      const version = currentAttempt?.softwareVersion;
-      call.origin = { version };
-      if (call.route.repeatability === 'resumable') {
-        options.origins.recordBegin(call, { service: call.service, version });
+    if (!this.hasBegun) {
+      this.hasBegun = true;
+      const origin = call.origin ?? { version: currentAttempt?.softwareVersion };
+      call.origin = origin;
+      // A stream that goes on is known by the call that began it.
+      if (call.route.repeatability === 'resumable' && call.metadata.lastEventId === undefined) {
+        options.origins.recordBegin(call, { service: call.service, version: origin.version });
       }
     }
     currentAttempt?.recordEvents();
@@ -274,8 +279,8 @@
     if (this.call.origin && matching.length === 0) {
       return Err(createRefusal('streamVersionGone', { retryAfterMs: NO_ENDPOINT_RETRY_AFTER_MS }));
     }
-    const eligible = matching.filter(
-      (endpoint) => !this.triedEndpoints.has(endpoint) && endpoint.isEligible(now),
+    const eligible = this.preferAnnounced(
+      matching.filter((endpoint) => !this.triedEndpoints.has(endpoint) && endpoint.isEligible(now)),
     );
     const available = eligible.filter((endpoint) => endpoint.isAvailable(now));
     // A call that an endpoint with a limit could take now and does not get is lost to it; the others get all the more.
@@ -301,6 +306,22 @@
       : endpoints;
   }
 
+  /**
+   * Leaves out endpoints of versions that other vms can't know of yet, unless there are no others: a stream that begins
+   * there could be taken up at another version.
+   */
+  private preferAnnounced(endpoints: readonly EndpointInstance[]): readonly EndpointInstance[] {
+    const { origin, route, service } = this.call;
+    if (origin || route.repeatability !== 'resumable') {
+      return endpoints;
+    }
+    const { origins } = this.options;
+    const announced = endpoints.filter(({ entry }) =>
+      origins.isAnnounced(service, entry.softwareVersion),
+    );
+    return announced.length > 0 ? announced : endpoints;
+  }
+
   private placeByOwnCalls(
     candidates: readonly EndpointInstance[],
   ): Result<EndpointInstance, Refusal> {
