Record streams within 20 ms while two software versions serve

Cause: a stream was recorded 0.3 s after its first event. The others go on before the vms count as in touch again, so the unrecorded ones are all that is left by then.

Change: 20 ms while a service has several versions, or 5 ms for each vm, so that one partition is not overloaded.

--- a/src/gateway/streams/streamJournal.ts
+++ b/src/gateway/streams/streamJournal.ts
@@ -36,10 +36,10 @@
 /** Without a record, a stream is still known to have begun at the only version. */
 const WRITE_DELAY_MS = 2_000;
 /** Delay while a service has several versions: a stream without a record can't be taken up elsewhere. */
-const WRITE_DELAY_SEVERAL_VERSIONS_MS = 300;
+const WRITE_DELAY_SEVERAL_VERSIONS_MS = 20;
 const RETRY_DELAY_MS = 500;
-/** One partition takes an append every 4 ms, so that it is busy for less than half of the time. */
-const WRITE_DELAY_PER_VM_MS = 10;
+/** One partition takes an append every 4 ms. */
+const WRITE_DELAY_PER_VM_MS = 5;
 /** An append without an answer may take effect after a newer one; it has by then. */
 const LATE_APPEND_MS = 5_000;
 /** Part of the retention after which a record is written again, so that it does not count as one of an ended process. */
