Do not renew the record of streams after a stop

Cause: a write that was in progress at the stop scheduled the renewal 30 s later, and its timer could keep the process.

Change: nothing is scheduled after the stop.

--- a/src/gateway/streams/streamJournal.ts
+++ b/src/gateway/streams/streamJournal.ts
@@ -164,6 +164,9 @@
     const { requestedDelayMs } = this;
     this.isWriting = false;
     this.requestedDelayMs = undefined;
+    if (this.isStopped) {
+      return;
+    }
     if (!isStored) {
       this.mayBeReplaced ||= mayTakeEffect;
       this.schedule(RETRY_DELAY_MS * (1 + this.options.random()));
