Count a missing record of a stream only within one era of the store

Cause: the copy lacks the last records of processes that have ended. What is left may name one version only.

Change: a record has the era of the store in which it was written, and living processes write theirs again after a rewind. While a record of an earlier era is left, a missing record of a stream counts for nothing.

--- a/src/gateway/streams/streamIndex.ts
+++ b/src/gateway/streams/streamIndex.ts
@@ -1,11 +1,16 @@
 /** Reads the records of all processes about the streams that they began. */
 import type { Logger } from '../../core/logging.js';
 import type { TimerService } from '../../core/timers.js';
-import type { ServiceName } from '../../types/ids.js';
+import type { Era, ServiceName } from '../../types/ids.js';
 import type { KeyedStore, NewestRecords, Topic } from '../../types/store.js';
 import type { RecordedOrigin } from './decideOrigin.js';
 import type { StreamKey } from './streamKey.js';
-import { decodeStreamRecord, hasKey, type VersionStreams } from './streamRecord.js';
+import {
+  decodeStreamRecord,
+  hasKey,
+  type StreamRecord,
+  type VersionStreams,
+} from './streamRecord.js';
 import type { SeenVersion } from './versionHistory.js';
 
 /** Options of an index. */
@@ -21,7 +26,7 @@
 interface ReadRecord {
   readonly value: Uint8Array;
   /** `undefined` if the record is malformed. */
-  readonly rows: readonly VersionStreams[] | undefined;
+  readonly record: StreamRecord | undefined;
 }
 
 /** Many calls are taken up at once after a failure; they share reads that are this far apart. */
@@ -40,7 +45,8 @@
 
   private lastReadAt = Number.NEGATIVE_INFINITY;
 
-  private hasBeenRead = false;
+  /** The era of the last read; `undefined` before it. */
+  private era: Era | undefined;
 
   constructor(private readonly options: StreamIndexOptions) {}
 
@@ -57,9 +63,16 @@
     return new Set(rows.map(({ version }) => version));
   }
 
-  /** Returns whether every record was read since the start of this process. One that is malformed may name any stream. */
+  /**
+   * Returns whether the last read shows every version that may have been in service. A malformed record may name any one.
+   * One of an earlier era shows that the store has returned to an older copy, which may lack records of processes that
+   * have ended; those that live write theirs again.
+   */
   isComplete(): boolean {
-    return this.hasBeenRead && [...this.records.values()].every(({ rows }) => rows);
+    const { era } = this;
+    return (
+      era !== undefined && [...this.records.values()].every(({ record }) => record?.era === era)
+    );
   }
 
   /** Reads the records; resolves with whether that succeeded. The read begins after the call. */
@@ -69,7 +82,7 @@
   }
 
   private getRows(): readonly VersionStreams[] {
-    return [...this.records.values()].flatMap(({ rows }) => rows ?? []);
+    return [...this.records.values()].flatMap(({ record }) => record?.rows ?? []);
   }
 
   private async readNext(): Promise<boolean> {
@@ -99,25 +112,25 @@
     return true;
   }
 
-  private apply({ records }: NewestRecords): void {
+  private apply({ records, era }: NewestRecords): void {
     const known = this.records;
     this.records = new Map();
     records.forEach(({ key, value }) => {
       if (value) {
         const previous = known.get(key);
         const isSame = previous !== undefined && Buffer.compare(previous.value, value) === 0;
-        this.records.set(key, isSame ? previous : { value, rows: this.decode(key, value) });
+        this.records.set(key, isSame ? previous : { value, record: this.decode(key, value) });
       }
     });
-    this.hasBeenRead = true;
+    this.era = era;
   }
 
-  private decode(key: string, value: Uint8Array): readonly VersionStreams[] | undefined {
-    const rows = decodeStreamRecord(value);
-    if (rows.err) {
-      this.options.logger.warn('record of streams can not be read', { key, detail: rows.val });
+  private decode(key: string, value: Uint8Array): StreamRecord | undefined {
+    const record = decodeStreamRecord(value);
+    if (record.err) {
+      this.options.logger.warn('record of streams can not be read', { key, detail: record.val });
       return undefined;
     }
-    return rows.val;
+    return record.val;
   }
 }
--- a/src/gateway/streams/streamJournal.ts
+++ b/src/gateway/streams/streamJournal.ts
@@ -147,7 +147,8 @@
     const rows = this.createRows();
     this.isWriting = true;
     try {
-      const result = await store.append({ topic, key: run, value: encodeStreamRecord(rows) });
+      const value = encodeStreamRecord({ era: store.era.getEra(), rows });
+      const result = await store.append({ topic, key: run, value });
       metrics.streamRecordWrites.inc({ outcome: result.ok ? 'stored' : result.val.kind });
       if (result.ok) {
         this.announced = getVersionsOf(rows);
--- a/src/gateway/streams/streamRecord.ts
+++ b/src/gateway/streams/streamRecord.ts
@@ -3,7 +3,7 @@
 import * as z from 'zod';
 import { checkShape } from '../../core/shapes.js';
 import type { Result } from '../../core/results.js';
-import { brandId, type ServiceName, type SoftwareVersion } from '../../types/ids.js';
+import { brandId, type Era, type ServiceName, type SoftwareVersion } from '../../types/ids.js';
 import { STREAM_KEY_BYTES, type StreamKey } from './streamKey.js';
 import type { SeenVersion } from './versionHistory.js';
 
@@ -15,37 +15,46 @@
   readonly keys: Buffer;
 }
 
+/** The record of one process. */
+export interface StreamRecord {
+  /** The era of the store that the process knew when it wrote. */
+  readonly era: Era;
+  readonly rows: readonly VersionStreams[];
+}
+
 const FORMAT_VERSION = 1;
 const keysSchema = z
   .instanceof(Uint8Array)
   .refine(({ length }) => length % STREAM_KEY_BYTES === 0, 'length of the keys');
 /** The name of the service, the version or `null` for one that can't be used, and the keys one after another. */
 const rowSchema = z.tuple([z.string(), z.string().nullable(), keysSchema]);
-const recordSchema = z.tuple([z.literal(FORMAT_VERSION), z.array(rowSchema)]);
+const recordSchema = z.tuple([z.literal(FORMAT_VERSION), z.int().min(0), z.array(rowSchema)]);
 
 /**
  * Encodes a record. Throws if the result could not be decoded.
  *
  * @example
- * encodeStreamRecord([{ service, version, keys: joinKeys([getStreamKey(workspace, callId)]) }]);
+ * encodeStreamRecord({ era, rows: [{ service, version, keys: joinKeys([getStreamKey(workspace, callId)]) }] });
  */
-export function encodeStreamRecord(rows: readonly VersionStreams[]): Uint8Array {
+export function encodeStreamRecord({ era, rows }: StreamRecord): Uint8Array {
   const record: z.input<typeof recordSchema> = [
     FORMAT_VERSION,
+    era,
     rows.map(({ service, version, keys }) => [service, version ?? null, new Uint8Array(keys)]),
   ];
   return encode(recordSchema.parse(record));
 }
 
 /** Decodes a record; returns an error that describes what is malformed. */
-export function decodeStreamRecord(bytes: Uint8Array): Result<VersionStreams[], string> {
-  return checkShape(recordSchema, () => decode(bytes)).map(([, rows]) =>
-    rows.map(([service, version, keys]) => ({
+export function decodeStreamRecord(bytes: Uint8Array): Result<StreamRecord, string> {
+  return checkShape(recordSchema, () => decode(bytes)).map(([, era, rows]) => ({
+    era: brandId<Era>(era),
+    rows: rows.map(([service, version, keys]) => ({
       service: brandId<ServiceName>(service),
       version: version === null ? undefined : brandId<SoftwareVersion>(version),
       keys: Buffer.from(keys),
     })),
-  );
+  }));
 }
 
 /** Joins the keys of streams. */
