--- a/src/escrow/allotmentPlan.ts
+++ b/src/escrow/allotmentPlan.ts
@@ -105,7 +105,9 @@
   const deficit = Math.max(0, needed - free);
   if (deficit > unclaimed) {
     // The unclaimed tokens serve at least some of the waiting requests.
-    return { claimed: Math.floor(unclaimed), shortfall: Math.ceil(deficit - unclaimed) };
+    // Others return no more than the total, so a larger shortfall changes nothing but the size of the sums over all holders.
+    const shortfall = Math.min(Math.ceil(deficit - unclaimed), Math.ceil(Math.max(0, total)));
+    return { claimed: Math.floor(unclaimed), shortfall };
   }
   // Advances are lost like free tokens when all processes die, so both together are limited by the target.
   const idle = free + advanced;
--- a/tests/gateway/decisions.test.ts
+++ b/tests/gateway/decisions.test.ts
@@ -252,6 +252,16 @@
   expect(planAllotment(inputs).claimed <= 0).toEqual(true);
 });
 
+// Failure: the needs of calls that are far larger than a total add up to a shortfall that no account record can hold.
+test('a stated shortfall is at most the total, and other holders return as much for it as for a larger one', () => {
+  const { shortfall } = planAllotment({ ...allotment, needed: 2 ** 60 });
+  expect(shortfall).toEqual(allotment.total);
+  const returned = [shortfall, 2 ** 60].map((othersShortfall) =>
+    planAllotment({ ...allotment, claimed: allotment.total, free: 3_000, othersShortfall }),
+  );
+  expect(returned[0]).toEqual(returned[1]);
+});
+
 test('all holders together claim at most half of the remaining tokens, whatever spending they expect', () => {
   const target = getAllotmentTarget({ ...allotment, expectedSpending: 1_000_000 });
   expect(target / allotment.spendingShare).toBeLessThanOrEqual(allotment.remaining / 2);
--- a/tests/gateway/gateway.test.ts
+++ b/tests/gateway/gateway.test.ts
@@ -171,6 +171,8 @@
     // Each call uses 100 tokens of input and 5 of output, of 400 in total.
     const statuses = await fleet.callSequentially(5, '/a/x', TOKENS);
     expect(statuses).toEqual([200, 200, 200, 402, 402]);
+    const huge = await fleet.call('/a/x', { 'shallotrock-token-usage': '999999999999999,1' });
+    expect(huge.status).toEqual(400);
     expect(endpoint.calls.length).toEqual(3);
   },
 );
--- a/tests/platform/codecs.test.ts
+++ b/tests/platform/codecs.test.ts
@@ -145,6 +145,30 @@
   expect('field' in tokens && tokens.field).toEqual('shallotrock-token-usage');
 });
 
+const readTokens = (tokens: string) =>
+  codec.readCall(['Shallotrock-Attempt-Id', 'a', 'Shallotrock-Token-Usage', tokens]);
+
+// Failure: the needs of five such calls add up to a number that no account record can hold.
+[
+  '1000000001,0',
+  '0,1000000001',
+  '999999999999999,999999999999999',
+  '1e9,1',
+  '-1,1',
+  '1.5,1',
+].forEach((tokens) => {
+  test(`a call that declares ${tokens} tokens is refused, and the error names the maximum`, () => {
+    const read = readTokens(tokens);
+    expect('field' in read && read.field).toEqual('shallotrock-token-usage');
+    expect('detail' in read ? read.detail : '').toInclude('whole numbers from 0 to 1000000000');
+  });
+});
+
+test('a call may declare the maximum of prompt and output tokens', () => {
+  const read = readTokens('1000000000,1000000000');
+  expect('tokens' in read && read.tokens).toEqual({ prompt: 1e9, maxOutput: 1e9 });
+});
+
 test('response headers determine whether a response is crossed, not run or genuine', () => {
   const read = (status: number, ...raw: string[]) => codec.readResponse('a1', status, raw);
   expect(read(200, 'Shallotrock-Attempt-Id', 'b2').isCrossed).toEqual(true);
