--- a/src/gateway/filters/holdTokens.ts
+++ b/src/gateway/filters/holdTokens.ts
@@ -44,8 +44,12 @@
 
 /**
  * Returns the tokens that a call is charged for: its output as delivered, and its input once there is any output. A
- * call without delivered output, because the endpoint failed or the caller disconnected, is free.
+ * call without delivered output, because the endpoint failed or the caller disconnected, is free. A service may state a
+ * fraction of a token for each event, and account records hold whole tokens.
+ *
+ * @example
+ * getUsedTokens({ prompt: 900, maxOutput: 100 }, 7.5); // 908
  */
-function getUsedTokens({ prompt, maxOutput }: DeclaredTokens, delivered: number): number {
-  return delivered > 0 ? prompt + Math.min(maxOutput, delivered) : 0;
+export function getUsedTokens({ prompt, maxOutput }: DeclaredTokens, delivered: number): number {
+  return delivered > 0 ? prompt + Math.min(maxOutput, Math.ceil(delivered)) : 0;
 }
--- a/tests/gateway/decisions.test.ts
+++ b/tests/gateway/decisions.test.ts
@@ -10,6 +10,7 @@
 } from '../../src/escrow/allotmentPlan.js';
 import { DemandRate } from '../../src/escrow/demandRate.js';
 import { EndpointDirectory } from '../../src/gateway/endpointDirectory.js';
+import { getUsedTokens } from '../../src/gateway/filters/holdTokens.js';
 import { EventSplitter } from '../../src/gateway/forward/eventSplitter.js';
 import { ServiceRetryBudget } from '../../src/gateway/forward/serviceRetryBudget.js';
 import { isRetryAllowed, type RetryContext } from '../../src/gateway/forward/retryPolicy.js';
@@ -262,6 +263,14 @@
   expect(returned[0]).toEqual(returned[1]);
 });
 
+// Failure: a fraction of a token is spent, and no account record can hold it.
+test('a call is charged whole tokens, also if its service states a fraction for each event', () => {
+  const used = [0, 7.5, 99.5, 250].map((delivered) =>
+    getUsedTokens({ prompt: 900, maxOutput: 100 }, delivered),
+  );
+  expect(used).toEqual([0, 908, 1_000, 1_000]);
+});
+
 test('all holders together claim at most half of the remaining tokens, whatever spending they expect', () => {
   const target = getAllotmentTarget({ ...allotment, expectedSpending: 1_000_000 });
   expect(target / allotment.spendingShare).toBeLessThanOrEqual(allotment.remaining / 2);
--- a/tests/platform/codecs.test.ts
+++ b/tests/platform/codecs.test.ts
@@ -225,6 +225,27 @@
   expect(String(result.val)).toInclude('limits.maxBodyBytes');
 });
 
+// Failure: no account record can hold such a total or version, so what was spent is forgotten at the next start.
+test('prepaid totals are whole numbers that account records can hold, and others are reported', () => {
+  const decode = (prepaid: number) =>
+    decodeGatewayConfig(
+      Buffer.from(JSON.stringify({ ...config, tenants: [{ name: 'w', prepaid }] })),
+    ).unwrap();
+  const totals = [0, 100, 1_000.5, -3, 1e300].map((prepaid) => {
+    const { workspaces, problems } = decode(prepaid);
+    return [workspaces?.[0]?.prepaidTokens, problems?.length];
+  });
+  expect(totals).toEqual([
+    [0, 0],
+    [100, 0],
+    [1_000, 1],
+    [0, 1],
+    [Number.MAX_SAFE_INTEGER, 1],
+  ]);
+  const fractional = decodeGatewayConfig(Buffer.from(JSON.stringify({ ...config, version: 1.5 })));
+  expect(String(fractional.val)).toInclude('version');
+});
+
 test('a malformed endpoint entry is an error', () => {
   const entry = {
     service: 's',
