Store only account records and patterns that readers accept

Cause: the reader of account records had a schema and the writer had none. A record with one number past 2^53 was stored, its writer spent what it claimed, and every reader ignored it, the writer's successor too.

Change: encodeHolderRecord and encodePattern check by the schema by which records are decoded, and return an error instead of bytes that could not be read. Names with half of a surrogate pair fail too, since they come back as other names. A budget whose balance fails keeps its stored balance in the record, as activated in full because claims may have been extended; its changes are reverted, so the process spends at most what is stored, and other budgets go on. If the rest of the record fails, nothing is stored or claimed. The failure is logged once while it lasts and counted (shallotrock_unstorable_records_total). A peer that asks for such a record gets an error, not an answer without it. Records of streams were checked on writing before.

--- a/src/core/metrics.ts
+++ b/src/core/metrics.ts
@@ -25,6 +25,8 @@
   readonly firstTokenSeconds: Histogram<'service'>;
   /** Appends of prepaid accounts, by outcome. */
   readonly accountAppends: Counter<'outcome'>;
+  /** Account records and balances that were not stored because no reader would accept them. */
+  readonly unstorableRecords: Counter<'kind'>;
   /** Duration of syncs of prepaid accounts with the store, from the first read to the last append. */
   readonly accountSyncSeconds: Histogram<'outcome'>;
   /** Time that calls waited for a hold on prepaid tokens. */
@@ -93,6 +95,11 @@
     filterSeconds: histogram('filter_seconds', 'Time spent in each filter.', ['filter']),
     firstTokenSeconds: histogram('first_token_seconds', 'Time to the first token.', ['service']),
     accountAppends: counter('account_appends_total', 'Appends of prepaid accounts.', ['outcome']),
+    unstorableRecords: counter(
+      'unstorable_records_total',
+      'Account records and balances that were not stored because no reader would accept them.',
+      ['kind'],
+    ),
     accountSyncSeconds: histogram('account_sync_seconds', 'Exchanges about prepaid accounts.', [
       'outcome',
     ]),
--- a/src/core/shapes.ts
+++ b/src/core/shapes.ts
@@ -1,8 +1,11 @@
 /** Validates external input against a schema. Errors name the invalid field. */
-import type * as z from 'zod';
+import * as z from 'zod';
 import { Err, Ok, type Result } from './results.js';
 import { getErrorMessage } from './utilities.js';
 
+/** A text that survives UTF-8. Half of a surrogate pair does not: two names could become the same one. */
+export const encodableText = z.string().regex(/^\P{Surrogate}*$/u, 'not encodable as UTF-8');
+
 /**
  * Reads a value and validates it. An exception thrown by `read`, such as a syntax error, is returned as an error.
  *
--- a/src/escrow/accountShard.ts
+++ b/src/escrow/accountShard.ts
@@ -21,6 +21,7 @@
 import type { Ledger, VersionedTotal } from './ledger.js';
 import { LedgerReader } from './ledgerReader.js';
 import { isOlderRecord } from './recordOrder.js';
+import { RecordEncoder } from './recordEncoder.js';
 import { RecordRecovery } from './recordRecovery.js';
 import { StoreHealth } from './storeHealth.js';
 
@@ -87,6 +88,8 @@
 
   private readonly reader: LedgerReader;
 
+  private readonly encoder: RecordEncoder;
+
   private readonly backoff: AppendBackoff;
 
   private pending: PendingRecord | undefined;
@@ -182,6 +185,7 @@
       getRecoveryAgeMs: () => this.health.getRecoveryAgeMs(),
       mayClaim: () => this.recovery.mayClaim(),
     });
+    this.encoder = new RecordEncoder({ accounts: this.accounts, logger, metrics: options.metrics });
     this.backoff = new AppendBackoff({
       timers,
       random,
@@ -461,12 +465,12 @@
       return 'unchanged';
     }
     const { holder, record } = lost;
-    const appended = await store.append({
-      topic,
-      key: holder,
-      value: encodeHolderRecord(record),
-      at,
-    });
+    const value = encodeHolderRecord(record);
+    if (value.err) {
+      logger.error('lost account record can not be stored', { holder, detail: value.val });
+      return 'unchanged';
+    }
+    const appended = await store.append({ topic, key: holder, value: value.val, at });
     logger.info('appended the lost record of a silent holder', {
       holder,
       sequence: record.sequence,
@@ -599,6 +603,9 @@
     // A pending record is sent again unchanged: at most one of its appends can be stored.
     this.pending ??= this.createPending(isFinal);
     const { pending } = this;
+    if (!pending) {
+      return 'failed';
+    }
     const appended = await store.append({
       topic,
       key: vm,
@@ -642,22 +649,22 @@
     });
   }
 
-  private createPending(isFinal: boolean): PendingRecord {
+  /** Returns `undefined` if no reader would accept the record. The claims stored before stay in force. */
+  private createPending(isFinal: boolean): PendingRecord | undefined {
     const { run, address, vm, cores = 0 } = this.options;
-    const { changes, balances } = this.accounts.prepare(isFinal);
+    const prepared = this.accounts.prepare(isFinal);
     const witnesses = chooseWitnesses(this.ledger, vm);
     this.createdSequence += 1;
-    const record = {
+    const head = {
       run,
       sequence: this.createdSequence,
       address,
       cores,
       witnesses,
-      balances,
       generation: this.generation,
       era: this.options.store.era.getEra(),
     };
-    const bytes = encodeHolderRecord(record);
-    return { at: this.reader.getOffset()!, record, bytes, changes, mayBeStored: false };
+    const encoded = this.encoder.encode(head, prepared);
+    return encoded && { ...encoded, at: this.reader.getOffset()!, mayBeStored: false };
   }
 }
--- a/src/escrow/holderRecord.ts
+++ b/src/escrow/holderRecord.ts
@@ -5,7 +5,7 @@
 import { decode, encode } from '@msgpack/msgpack';
 import * as z from 'zod';
 import type { Result } from '../core/results.js';
-import { checkShape } from '../core/shapes.js';
+import { checkShape, encodableText } from '../core/shapes.js';
 import type { BudgetId, Era, Incarnation, VmId } from '../types/ids.js';
 
 /** One holder's balance of one budget. Amounts are in tokens, summed over all processes of the vm so far. */
@@ -49,38 +49,54 @@
 }
 
 const FORMAT_VERSION = 1;
+/** The schema of readers and writers: a record that only its writer accepts hides what its holder has claimed. */
 const amount = z.int();
-const balanceSchema = z.tuple([z.string(), amount, amount, amount, amount, amount, amount, amount]);
+const balanceSchema = z.tuple([
+  encodableText,
+  amount,
+  amount,
+  amount,
+  amount,
+  amount,
+  amount,
+  amount,
+]);
 const recordSchema = z
   .tuple([
     z.literal(FORMAT_VERSION),
-    z.string(),
+    encodableText,
     z.int().min(1),
-    z.string(),
-    z.array(z.tuple([z.string(), z.string()])),
+    encodableText,
+    z.array(z.tuple([encodableText, encodableText])),
     z.array(balanceSchema),
   ])
   // The number of cores, the generation and the era, which records of earlier versions lack.
   .rest(z.number().min(0));
 
-/** Encodes a record. */
-export function encodeHolderRecord(record: HolderRecord): Uint8Array {
+/** Encodes a record; returns an error if `decodeHolderRecord` would not accept the result. */
+export function encodeHolderRecord(record: HolderRecord): Result<Uint8Array, string> {
   const { run, sequence, address, cores, witnesses, balances, generation = 0, era = 0 } = record;
-  const rows = [...balances].map(([budget, balance]) => {
-    const { claimed, activated, settled, lost, shortfall, total, totalVersion } = balance;
-    return [budget, claimed, activated, settled, lost, shortfall, total, totalVersion];
-  });
-  return encode([
+  return checkShape(recordSchema, () => [
     FORMAT_VERSION,
     run,
     sequence,
     address,
     witnesses.map((witness) => [witness.vm, witness.run]),
-    rows,
+    [...balances].map(([budget, balance]) => toRow(budget, balance)),
     cores,
     generation,
     era,
-  ]);
+  ]).map((row) => encode(row));
+}
+
+/** Returns whether a record with this balance can be stored, as far as the balance matters. */
+export function isStorableBalance(budget: BudgetId, balance: HolderBalance): boolean {
+  return balanceSchema.safeParse(toRow(budget, balance)).success;
+}
+
+function toRow(budget: BudgetId, balance: HolderBalance): unknown[] {
+  const { claimed, activated, settled, lost, shortfall, total, totalVersion } = balance;
+  return [budget, claimed, activated, settled, lost, shortfall, total, totalVersion];
 }
 
 /** Decodes a record; returns an error that describes what is malformed. */
--- a/src/escrow/localAccounts.ts
+++ b/src/escrow/localAccounts.ts
@@ -4,7 +4,7 @@
 import type { BudgetId, VmId } from '../types/ids.js';
 import { Account, type AccountChange } from './account.js';
 import { getAllotmentTarget, planAllotment, type AllotmentInputs } from './allotmentPlan.js';
-import type { HolderBalance, HolderRecord } from './holderRecord.js';
+import { isStorableBalance, type HolderBalance, type HolderRecord } from './holderRecord.js';
 import type { HomeList } from './homeList.js';
 import type { Ledger, VersionedTotal } from './ledger.js';
 
@@ -30,6 +30,12 @@
   readonly balances: ReadonlyMap<BudgetId, HolderBalance>;
 }
 
+/** Prepared changes without those that no record can hold. */
+export interface StorableChanges extends PreparedChanges {
+  /** The budgets whose changes were reverted. */
+  readonly reverted: readonly BudgetId[];
+}
+
 const ACTIVATION_WINDOW_MS = 1_700; // activated tokens cover spending until a few records later
 /** The share of the horizon that claims cover right after the store recovered. */
 const COVERAGE_MIN = 0.2;
@@ -112,6 +118,29 @@
     return { changes, balances };
   }
 
+  /**
+   * Reverts the changes of the budgets whose balances no record can hold. Their stored balances stand in, as claimed and
+   * activated in full: claims may have been extended since. Without one nothing is claimed, and none is needed.
+   */
+  revertUnstorable(prepared: PreparedChanges): StorableChanges {
+    const { ledger, vm } = this.options;
+    const changes = new Map(prepared.changes);
+    const balances = new Map(prepared.balances);
+    const reverted = [...balances.keys()].filter(
+      (budget) => !isStorableBalance(budget, balances.get(budget)!),
+    );
+    reverted.forEach((budget) => {
+      this.getAccount(budget).revert();
+      changes.delete(budget);
+      balances.delete(budget);
+      const stored = ledger.holders.get(vm)?.balances.get(budget);
+      if (stored) {
+        balances.set(budget, { ...stored, activated: stored.claimed });
+      }
+    });
+    return { changes, balances, reverted };
+  }
+
   /** Applies the changes of a stored record. */
   confirm(changes: ReadonlyMap<BudgetId, AccountChange>): void {
     changes.forEach((change, budget) => this.getAccount(budget).confirm(change));
--- a/src/escrow/recordRecovery.ts
+++ b/src/escrow/recordRecovery.ts
@@ -99,7 +99,7 @@
     const records = holders.flatMap((holder) => {
       const record = reader.getNewest(holder);
       return record && isUnknown(record, knownByHolder.get(holder))
-        ? [{ holder, record: Buffer.from(encodeHolderRecord(record)).toString('base64') }]
+        ? [{ holder, record: encodeForPeer(holder, record) }]
         : [];
     });
     return { era: era.getEra(), isRecovered: this.state.kind === 'ended', records };
@@ -189,6 +189,15 @@
   }
 }
 
+/** Throws if the peer would not accept the record: it must ask again, as an answer without it hides what is claimed. */
+function encodeForPeer(holder: VmId, record: HolderRecord): string {
+  const encoded = encodeHolderRecord(record);
+  if (encoded.err) {
+    throw new Error(`account record of ${holder} can not be encoded: ${encoded.val}`);
+  }
+  return Buffer.from(encoded.val).toString('base64');
+}
+
 function toKnownRecord(holder: VmId, record: HolderRecord | undefined): KnownRecord[] {
   if (!record) {
     return [];
--- a/src/poison/patternRecord.ts
+++ b/src/poison/patternRecord.ts
@@ -2,15 +2,15 @@
 import { decode, encode } from '@msgpack/msgpack';
 import * as z from 'zod';
 import type { Result } from '../core/results.js';
-import { checkShape } from '../core/shapes.js';
+import { checkShape, encodableText } from '../core/shapes.js';
 import type { Feature, PoisonPattern } from '../types/poison.js';
 
 const FORMAT_VERSION = 1;
-const recordSchema = z.tuple([z.literal(FORMAT_VERSION), z.array(z.string()).min(1)]);
+const recordSchema = z.tuple([z.literal(FORMAT_VERSION), z.array(encodableText).min(1)]);
 
-/** Encodes a pattern. */
-export function encodePattern({ features }: PoisonPattern): Uint8Array {
-  return encode([FORMAT_VERSION, features]);
+/** Encodes a pattern; returns an error if `decodePattern` would not accept the result. */
+export function encodePattern({ features }: PoisonPattern): Result<Uint8Array, string> {
+  return checkShape(recordSchema, () => [FORMAT_VERSION, features]).map((row) => encode(row));
 }
 
 /** Decodes a pattern; returns an error that describes what is malformed. */
--- a/src/poison/patternStore.ts
+++ b/src/poison/patternStore.ts
@@ -73,7 +73,14 @@
     }
     const peerDelayMs =
       PEER_DELAY_MIN_MS + this.options.random() * (PEER_DELAY_MAX_MS - PEER_DELAY_MIN_MS);
-    this.scheduleWrite(key, encodePattern(pattern), source === 'evidence' ? 0 : peerDelayMs);
+    const value = encodePattern(pattern);
+    if (value.err) {
+      // The pattern stays in force in the processes that know it.
+      const detail = value.val;
+      this.options.logger.error('pattern of refused calls can not be stored', { key, detail });
+      return;
+    }
+    this.scheduleWrite(key, value.val, source === 'evidence' ? 0 : peerDelayMs);
   }
 
   /** Deletes an expired pattern, unless another process has done so. */
--- a/tests/gateway/accountShard.test.ts
+++ b/tests/gateway/accountShard.test.ts
@@ -7,7 +7,7 @@
 import type { Account } from '../../src/escrow/account.js';
 import { ExtensionClient } from '../../src/escrow/extensionClient.js';
 import { decodeHolderRecord, type HolderRecord } from '../../src/escrow/holderRecord.js';
-import { brandId, type BudgetId, type VmId } from '../../src/types/ids.js';
+import { brandId, type BudgetId, type Incarnation, type VmId } from '../../src/types/ids.js';
 import { FakeNetwork, FakePeerClient } from '../support/fakePeers.js';
 import { createStoreFaults, FakeStore, FakeStoreServer } from '../support/fakeStore.js';
 import { PausableTimers } from '../support/pausableTimers.js';
@@ -18,8 +18,6 @@
 
 /** One shard on virtual time, its store and the faults of its calls. */
 class ShardScenario {
-  readonly timers = new VirtualTimers();
-
   readonly faults = createStoreFaults();
 
   readonly shard: AccountShard;
@@ -30,16 +28,33 @@
   /** Called before each append. */
   onAppend: (record: HolderRecord) => void = () => {};
 
-  private readonly server = new FakeStoreServer(this.timers);
+  /** The number of records that the shard tried to append and no reader accepts. */
+  unreadable = 0;
+
+  private readonly process: PausableTimers;
+
+  readonly timers: VirtualTimers;
 
-  constructor() {
+  /** A scenario without another one's store begins with an empty store. */
+  constructor(
+    totals: ReadonlyMap<BudgetId, number> = new Map([[BUDGET, 10_000]]),
+    private readonly server = new FakeStoreServer(new VirtualTimers()),
+    run: Incarnation = brandId('run1'),
+    cores = 2,
+  ) {
+    this.timers = server.timers as VirtualTimers;
     const process = new PausableTimers(this.timers);
+    this.process = process;
     const store = new FakeStore(this.server, process, this.faults);
     const append = store.append.bind(store);
     store.append = (options) => {
-      const record = decodeHolderRecord(options.value!).unwrap();
-      this.sent.push(record);
-      this.onAppend(record);
+      const decoded = decodeHolderRecord(options.value!);
+      if (decoded.ok) {
+        this.sent.push(decoded.val);
+        this.onAppend(decoded.val);
+      } else {
+        this.unreadable += 1;
+      }
       return append(options);
     };
     const client = new FakePeerClient(new FakeNetwork(this.timers), VM, process);
@@ -50,12 +65,14 @@
       logger: createLogger({ level: 'error' }),
       metrics: createMetrics(),
       vm: VM,
-      run: brandId('run1'),
+      run,
+      cores,
       extensions: new ExtensionClient({ client, vm: VM, part: 0 }),
       client,
       address: 'vm0',
       horizonMs: 8_500,
-      getTotals: () => new Map([[BUDGET, { tokens: 10_000, version: 1 }]]),
+      getTotals: () =>
+        new Map([...totals].map(([budget, tokens]) => [budget, { tokens, version: 1 }])),
       random: () => 0.5,
     });
     this.shard.start();
@@ -65,6 +82,12 @@
     return this.shard.accounts.getAccount(BUDGET);
   }
 
+  /** Kills the process and starts its successor on the same vm. */
+  restart(): ShardScenario {
+    this.process.pause();
+    return new ShardScenario(undefined, this.server, brandId<Incarnation>('run2'));
+  }
+
   /** Returns the claim that other processes read. */
   getStoredClaim(): number {
     const record = this.server.getRecords(TOPIC).at(-1)!;
@@ -168,3 +191,42 @@
   });
   expect(contents.size).toBeGreaterThan(2);
 });
+
+// Failure: a process spends what it claimed with records that no reader accepts, and its successor spends it again.
+test('a process with a balance that no record can hold spends only what is stored', async () => {
+  const scenario = new ShardScenario();
+  const { timers, sent } = scenario;
+  const { allotment } = scenario.getAccount();
+  await timers.advance(2_000);
+  expect(allotment.tryHold(100, timers.now())).toEqual(true);
+  allotment.settle(100, 0.5, timers.now());
+  sent.length = 0;
+  await scenario.spend(400);
+  expect([scenario.unreadable, sent.length > 0]).toEqual([0, true]);
+  // Claims may have been extended since the stored balance, so all of them count as activated.
+  const balances = sent.map((record) => record.balances.get(BUDGET)!);
+  expect(balances.every(({ activated, claimed }) => activated === claimed)).toEqual(true);
+  expect(scenario.getSpendable()).toBeLessThanOrEqual(scenario.getStoredClaim());
+  const successor = scenario.restart();
+  await timers.advance(2_000);
+  await successor.spend(400);
+  expect(allotment.spent + successor.getAccount().allotment.spent).toBeLessThanOrEqual(10_000);
+});
+
+// Failure: one workspace's numbers stop the accounts of all others.
+test('a budget whose balance no record can hold grants nothing, and others are claimed', async () => {
+  const broken: BudgetId = brandId('broken');
+  const scenario = new ShardScenario(new Map([[BUDGET, 10_000]]).set(broken, 5_000.5));
+  await scenario.timers.advance(2_000);
+  await scenario.spend(40);
+  expect([scenario.unreadable, scenario.getAccount().allotment.spent]).toEqual([0, 4_000]);
+  expect(scenario.shard.accounts.getAccount(broken).getTotalFree()).toEqual(0);
+});
+
+// Failure: a process claims tokens with a record that no reader accepts whatever its balances are.
+test('a process whose record no reader would accept stores nothing and claims nothing', async () => {
+  const scenario = new ShardScenario(undefined, undefined, undefined, -1);
+  await scenario.timers.advance(2_000);
+  expect([scenario.unreadable, scenario.sent.length]).toEqual([0, 0]);
+  expect([scenario.shard.isReady(), scenario.getSpendable()]).toEqual([false, 0]);
+});
--- a/tests/gateway/homes.test.ts
+++ b/tests/gateway/homes.test.ts
@@ -179,7 +179,7 @@
   const process = new PausableTimers(timers);
   const server = new FakeStoreServer(timers);
   others.forEach((other, index) => {
-    const value = encodeHolderRecord(createRecord(other));
+    const value = encodeHolderRecord(createRecord(other)).unwrap();
     server.append({ topic: TOPIC, key: other, value, at: index as Offset });
   });
   const store = new FakeStore(server, process, createStoreFaults());
--- a/tests/gateway/ledgerReader.test.ts
+++ b/tests/gateway/ledgerReader.test.ts
@@ -47,7 +47,14 @@
     const run = brandId<Incarnation>('run');
     append(
       holder,
-      encodeHolderRecord({ run, sequence, address: 'a', cores: 1, witnesses: [], balances }),
+      encodeHolderRecord({
+        run,
+        sequence,
+        address: 'a',
+        cores: 1,
+        witnesses: [],
+        balances,
+      }).unwrap(),
     );
   };
   const read = async () => {
