Write the record of streams again until no earlier append can replace it

What callers saw: nothing yet; found by reading the change. A write that came earlier took the place of the one that was due 5 s after an append without an answer, so a late append could replace a newer record until the renewal.

Change: the time until which that is possible is kept, and each write before it schedules another one.

--- a/src/gateway/streams/streamJournal.ts
+++ b/src/gateway/streams/streamJournal.ts
@@ -59,8 +59,8 @@
   /** The delay until the next write that was requested during the current one. */
   private requestedDelayMs: number | undefined;
 
-  /** Whether an append without an answer may still replace a newer record. */
-  private mayBeReplaced = false;
+  /** Until this time an append without an answer may replace a newer record. */
+  private replaceableUntil = Number.NEGATIVE_INFINITY;
 
   /** The versions that the stored record names, by service. */
   private announced: ReadonlyMap<ServiceName, ReadonlySet<SeenVersion>> = new Map();
@@ -163,22 +163,22 @@
 
   private scheduleNext(isStored: boolean, mayTakeEffect: boolean): void {
     const { requestedDelayMs } = this;
+    const now = this.options.timers.now();
     this.isWriting = false;
     this.requestedDelayMs = undefined;
     if (this.isStopped) {
       return;
     }
     if (!isStored) {
-      this.mayBeReplaced ||= mayTakeEffect;
+      this.replaceableUntil = mayTakeEffect ? now + LATE_APPEND_MS : this.replaceableUntil;
       this.schedule(RETRY_DELAY_MS * (1 + this.options.random()));
       return;
     }
     if (requestedDelayMs !== undefined) {
       this.schedule(requestedDelayMs);
     }
-    if (this.mayBeReplaced) {
-      this.mayBeReplaced = false;
-      this.schedule(LATE_APPEND_MS);
+    if (now < this.replaceableUntil) {
+      this.schedule(this.replaceableUntil - now);
     }
     this.cancelRenewal();
     this.cancelRenewal = this.options.timers.subscribe(
@@ -207,7 +207,7 @@
 
   private dropExpired(): void {
     const now = this.options.timers.now();
-    // A longer retention of a later configuration does not change the order much; expired streams in between are kept longer.
+    // The order of expiry is that of the map, except after a change of the retention; then some expire a little later.
     for (const [key, { expiresAt }] of this.streams) {
       if (expiresAt > now) {
         return;
