--- a/tests/gateway/resumedStreams.test.ts
+++ b/tests/gateway/resumedStreams.test.ts
@@ -1,49 +1,22 @@
 /** Failure: a caller takes a stream up again, and gets the rest from another software version than the first part. */
-import { test, type TestContext } from 'node:test';
+import { test } from 'node:test';
 import { expect } from 'earl';
 import { brandId, type ServiceName } from '../../src/types/ids.js';
-import { createRoute, GatewayFleet, sendEvents } from '../support/gatewayFleet.js';
+import { createRoute, type GatewayFleet } from '../support/gatewayFleet.js';
+import {
+  addVersionedEndpoint,
+  getEventVersions,
+  startVersionedFleet,
+} from '../support/versionedEndpoints.js';
 
 const TIMEOUT = { timeout: 30_000 };
 const CALLS = 12; // the placement is random
 const route = createRoute('/s/', { isStream: true, repeatability: 'resumable', attempts: 1 });
 
-/** Starts one endpoint for each version. Each breaks a new stream off after two of four events, and completes a resumed one. */
-async function startFleet(
-  context: TestContext,
-  versions: readonly string[],
-): Promise<GatewayFleet> {
-  const fleet = await GatewayFleet.start(context);
-  await fleet.configure([route]);
-  for (const [index, version] of versions.entries()) {
-    await addEndpoint(fleet, `e${index}`, version);
-  }
-  return fleet;
-}
-
-async function addEndpoint(fleet: GatewayFleet, id: string, version: string | null): Promise<void> {
-  await fleet.addEndpoint(
-    id,
-    (message, response) => {
-      const last = message.headers['last-event-id'];
-      sendEvents(message, response, []);
-      const ids = last === undefined ? [1, 2] : [3, 4];
-      response.write(ids.map((event) => `id: ${event}\ndata: ${version}\n\n`).join(''), () =>
-        last === undefined ? response.destroy() : response.end(),
-      );
-    },
-    { version },
-  );
-}
-
-function getVersions(body: string): string[] {
-  return [...body.matchAll(/data: (\S+)/g)].map(([, version]) => version!);
-}
-
 /** Begins a stream, which breaks off. Returns its version. */
 async function begin(fleet: GatewayFleet, id: string): Promise<string> {
   const { body } = await fleet.call('/s/x', { 'shallotrock-attempt-id': id });
-  return getVersions(body)[0]!;
+  return getEventVersions(body)[0]!;
 }
 
 function resume(fleet: GatewayFleet, resumes: string, headers: Record<string, string> = {}) {
@@ -54,12 +27,12 @@
   'a stream is taken up at the version that began it, at the same vm and at any other',
   TIMEOUT,
   async (context) => {
-    const fleet = await startFleet(context, ['v1', 'v2', 'v1', 'v2']);
+    const fleet = await startVersionedFleet(context, route, ['v1', 'v2', 'v1', 'v2']);
     const versions: string[] = [];
     for (let call = 0; call < CALLS; call += 1) {
       versions.push(await begin(fleet, `stream-${call}`));
       const { status, body } = await resume(fleet, `stream-${call}`);
-      expect([status, ...getVersions(body)]).toEqual([200, versions[call]!, versions[call]!]);
+      expect([status, ...getEventVersions(body)]).toEqual([200, versions[call]!, versions[call]!]);
     }
     expect(new Set(versions).size).toEqual(2);
     // The record of the last stream is written a little later.
@@ -68,7 +41,7 @@
     const peer = await fleet.startPeer(context, 2);
     for (let call = 0; call < CALLS; call += 1) {
       const { status, body } = await resume(peer, `stream-${call}`);
-      expect([status, ...getVersions(body)]).toEqual([200, versions[call]!, versions[call]!]);
+      expect([status, ...getEventVersions(body)]).toEqual([200, versions[call]!, versions[call]!]);
     }
   },
 );
@@ -77,7 +50,7 @@
   'a stream whose record was lost is not taken up while two versions serve',
   TIMEOUT,
   async (context) => {
-    const fleet = await startFleet(context, ['v1', 'v2']);
+    const fleet = await startVersionedFleet(context, route, ['v1', 'v2']);
     const peer = await fleet.startPeer(context, 2);
     const refused = await resume(peer, 'a stream of a vm that ended before it wrote');
     expect([refused.status, JSON.parse(refused.body).error.code]).toEqual([
@@ -95,9 +68,9 @@
   'a stream of a version that has left is refused, not joined with the next version',
   TIMEOUT,
   async (context) => {
-    const fleet = await startFleet(context, ['v1']);
+    const fleet = await startVersionedFleet(context, route, ['v1']);
     await begin(fleet, 'stream');
-    await addEndpoint(fleet, 'new', 'v2');
+    await addVersionedEndpoint(fleet, 'new', 'v2');
     fleet.removeEndpoint('e0');
     await fleet.waitFor(() => fleet.gateway.directory.getSize() === 1);
     await fleet.waitFor(() => fleet.countStreamRecords() > 0);
@@ -116,9 +89,9 @@
   'a vm that starts after the old version has left knows from the records that there was one',
   TIMEOUT,
   async (context) => {
-    const fleet = await startFleet(context, ['v1']);
+    const fleet = await startVersionedFleet(context, route, ['v1']);
     await begin(fleet, 'stream');
-    await addEndpoint(fleet, 'new', 'v2');
+    await addVersionedEndpoint(fleet, 'new', 'v2');
     fleet.removeEndpoint('e0');
     await fleet.waitFor(() => fleet.gateway.directory.getSize() === 1);
     await fleet.waitFor(() => fleet.countStreamRecords() > 0);
@@ -132,12 +105,12 @@
   'while one version serves, a stream without a record is taken up',
   TIMEOUT,
   async (context) => {
-    const fleet = await startFleet(context, ['v1', 'v1']);
+    const fleet = await startVersionedFleet(context, route, ['v1', 'v1']);
     await begin(fleet, 'stream');
     const peer = await fleet.startPeer(context, 2);
     fleet.removeStreamRecords();
     const { status, body } = await resume(peer, 'stream');
-    expect([status, getVersions(body)]).toEqual([200, ['v1', 'v1']]);
+    expect([status, getEventVersions(body)]).toEqual([200, ['v1', 'v1']]);
   },
 );
 
@@ -145,7 +118,7 @@
   'without the store a vm takes up its own streams only, although it has seen one version',
   TIMEOUT,
   async (context) => {
-    const fleet = await startFleet(context, ['v1', 'v1']);
+    const fleet = await startVersionedFleet(context, route, ['v1', 'v1']);
     const peer = await fleet.startPeer(context, 2);
     fleet.setStreamRecordsUnavailable(true);
     await begin(fleet, 'stream');
@@ -165,11 +138,11 @@
   'no stream begins at a version before the record that names it is stored',
   TIMEOUT,
   async (context) => {
-    const fleet = await startFleet(context, ['v1']);
+    const fleet = await startVersionedFleet(context, route, ['v1']);
     await fleet.waitFor(() => fleet.countStreamRecords() > 0);
     await fleet.settle();
     fleet.setStreamRecordsUnavailable(true);
-    await addEndpoint(fleet, 'new', 'v2');
+    await addVersionedEndpoint(fleet, 'new', 'v2');
     const versions: string[] = [];
     for (let call = 0; call < CALLS; call += 1) {
       versions.push(await begin(fleet, `stream-${call}`));
@@ -188,11 +161,11 @@
   'a vm that ends before its first stream is recorded has named the version',
   TIMEOUT,
   async (context) => {
-    const fleet = await startFleet(context, ['v1']);
+    const fleet = await startVersionedFleet(context, route, ['v1']);
     await fleet.waitFor(() => fleet.countStreamRecords() > 0);
     const peer = await fleet.startPeer(context, 2);
     await begin(fleet, 'stream');
-    await addEndpoint(peer, 'new', 'v2');
+    await addVersionedEndpoint(peer, 'new', 'v2');
     peer.removeEndpoint('e0');
     await peer.waitFor(() => peer.gateway.directory.getSize() === 1);
     expect((await resume(peer, 'stream')).status).toEqual(503);
@@ -203,7 +176,7 @@
   'a stream without a record is not taken up on a route that leads to several services',
   TIMEOUT,
   async (context) => {
-    const fleet = await startFleet(context, ['v1']);
+    const fleet = await startVersionedFleet(context, route, ['v1']);
     const split = [
       { service: fleet.service, weight: 1 },
       { service: brandId<ServiceName>('other'), weight: 0 },
@@ -217,11 +190,11 @@
   'a call that names a stream without its last event goes to the version of the stream',
   TIMEOUT,
   async (context) => {
-    const fleet = await startFleet(context, ['v1', 'v2']);
+    const fleet = await startVersionedFleet(context, route, ['v1', 'v2']);
     const version = await begin(fleet, 'stream');
     for (let call = 0; call < CALLS; call += 1) {
       const { body } = await fleet.call('/s/x', { resumes: 'stream' });
-      expect(new Set(getVersions(body))).toEqual(new Set([version]));
+      expect(new Set(getEventVersions(body))).toEqual(new Set([version]));
     }
   },
 );
@@ -230,7 +203,7 @@
   'a third call names the first one, whichever vm served the second',
   TIMEOUT,
   async (context) => {
-    const fleet = await startFleet(context, ['v1', 'v2', 'v1', 'v2']);
+    const fleet = await startVersionedFleet(context, route, ['v1', 'v2', 'v1', 'v2']);
     const version = await begin(fleet, 'first');
     await fleet.waitFor(() => fleet.countStreamRecords() > 0);
     await fleet.settle();
@@ -238,7 +211,7 @@
     const peer = await fleet.startPeer(context, 2);
     for (const id of ['second', 'third', 'fourth']) {
       const { body } = await resume(peer, 'first', { 'shallotrock-attempt-id': id });
-      expect(getVersions(body)).toEqual([version, version]);
+      expect(getEventVersions(body)).toEqual([version, version]);
     }
   },
 );
@@ -247,7 +220,7 @@
   'a stream that began at an endpoint of an unknown version is not taken up',
   TIMEOUT,
   async (context) => {
-    const fleet = await startFleet(context, ['v1', 'v1']);
+    const fleet = await startVersionedFleet(context, route, ['v1', 'v1']);
     fleet.forgetVersions();
     await begin(fleet, 'stream');
     expect((await resume(fleet, 'stream')).status).toEqual(503);
@@ -258,7 +231,7 @@
   'a stream of another workspace or a header that is repeated gives no version',
   TIMEOUT,
   async (context) => {
-    const fleet = await startFleet(context, ['v1', 'v2']);
+    const fleet = await startVersionedFleet(context, route, ['v1', 'v2']);
     await begin(fleet, 'stream');
     const tooLong = await resume(fleet, 'x'.repeat(8_000));
     expect(tooLong.status).toEqual(503);
