Bound the bytes in front of the head of a response

An engine in trouble sent blank lines without end where the status line was due.

Cause: EndpointCall keeps every byte until the parser reports the head, to check it. Chunks were kept in a list besides, some hundred bytes for each however small.

Change: a call whose head is not complete after 131,072 bytes is given up and its connection closed. The caller gets 502, as the call may have run.

That sound heads still pass is what the tests of damagedResponseHead, invalidAnswers and endpointCall check.

--- a/src/gateway/forward/endpointAttempt.ts
+++ b/src/gateway/forward/endpointAttempt.ts
@@ -86,7 +86,7 @@
   private resolveStopped: () => void = () => {};
 
   constructor(private readonly options: EndpointAttemptOptions) {
-    const { call, endpoint, timers, agent } = options;
+    const { call, endpoint, timers, agent, responseMemory } = options;
     this.promptTokens = call.metadata.tokens?.prompt ?? 0;
     // A stream that resumes was answered by the endpoint before.
     this.isAnswered = options.stream?.hasSentEvents() ?? false;
@@ -102,6 +102,7 @@
     this.endpointCall = new EndpointCall({
       agent,
       timers,
+      responseMemory,
       callId: call.metadata.id,
       address: endpoint.entry,
       method: call.method,
--- a/src/gateway/forward/endpointCall.ts
+++ b/src/gateway/forward/endpointCall.ts
@@ -1,6 +1,8 @@
 /** Sends one call over one connection to an endpoint. */
 import { request, type ClientRequest, type IncomingMessage } from 'node:http';
 import type { Socket } from 'node:net';
+import { ByteCollector } from '../../core/byteCollector.js';
+import type { MemoryBudget } from '../../core/memoryBudget.js';
 import type { TimerService, Unsubscribe } from '../../core/timers.js';
 import { getErrorMessage } from '../../core/utilities.js';
 import type { Address } from '../../types/gateway.js';
@@ -11,6 +13,8 @@
 export interface EndpointCallOptions {
   readonly agent: EndpointAgent;
   readonly timers: TimerService;
+  /** Shared by all responses that are being read. */
+  readonly responseMemory: MemoryBudget;
   /** The id that the endpoint repeats in its response. */
   readonly callId: string;
   readonly address: Address;
@@ -33,6 +37,11 @@
   | { readonly kind: 'aborted' };
 
 const INTERIM_RESPONSES_MAX = 8; // 1xx responses; each is small, so no size limit stops them
+/**
+ * Bytes before the end of the head. Node limits each head by `--max-http-header-size`, but its parser skips blank lines in
+ * front of a status line without counting them.
+ */
+const HEAD_BYTES_MAX = 131_072;
 // A reset follows the end of a connection closely when the endpoint has not read the whole upload.
 const RESET_DETECTION_MS = 10;
 const CONNECT_TIMEOUT_MS = 400; // latency targets are 300 ms and more; an unresponsive endpoint must not use up one more than once
@@ -53,7 +62,7 @@
   private cancelConnect: Unsubscribe = () => {};
 
   /** Everything received until the head of the response is complete. */
-  private headChunks: Buffer[] = [];
+  private headBytes = new ByteCollector();
 
   /** Resolves with the head of the response, or with the failure. */
   readonly result: Promise<SendResult>;
@@ -111,7 +120,7 @@
       }
     });
     clientRequest.on('response', (response) => {
-      const fault = findHeadFault(Buffer.concat(this.headChunks));
+      const fault = findHeadFault(this.headBytes.getBytes());
       if (fault !== undefined) {
         resolve(this.getFailure(fault));
         clientRequest.destroy();
@@ -153,12 +162,23 @@
 
   /** The parser's own listener must come second, since it reports the response. */
   private collectHead(clientRequest: ClientRequest, socket: Socket): void {
+    const giveUp = (detail: string) => clientRequest.destroy(new Error(detail));
+    const share = this.options.responseMemory.open((usedBytes) =>
+      giveUp(`the largest of the responses being read, which hold ${usedBytes} bytes`),
+    );
     const append = (chunk: Buffer) => {
-      this.headChunks.push(chunk);
+      // The limit applies to the chunks before: the one that ends the head may hold a part of the body.
+      if (this.headBytes.length > HEAD_BYTES_MAX) {
+        giveUp(`no complete head within ${HEAD_BYTES_MAX} bytes`);
+        return;
+      }
+      this.headBytes.append(chunk);
+      share.add(chunk.length);
     };
     const stop = () => {
       socket.off('data', append);
-      this.headChunks = [];
+      share.close();
+      this.headBytes = new ByteCollector();
     };
     socket.prependListener('data', append);
     clientRequest.once('response', stop);
--- a/tests/gateway/endpointCall.test.ts
+++ b/tests/gateway/endpointCall.test.ts
@@ -38,6 +38,7 @@
   return new EndpointCall({
     agent,
     timers: new SystemTimers(),
+    responseMemory: new MemoryBudget({ limitBytes: 1_000_000 }),
     callId: `call-${Math.random()}`,
     address: { host: '127.0.0.1', port },
     method: 'GET',
--- a/tests/gateway/invalidAnswers.test.ts
+++ b/tests/gateway/invalidAnswers.test.ts
@@ -32,9 +32,11 @@
     call: async (context, port, body) => {
       const agent = new EndpointAgent();
       context.after(() => agent.destroy());
+      const responseMemory = new MemoryBudget({ limitBytes: 1_000_000 });
       const endpointCall = new EndpointCall({
         agent,
         timers: new SystemTimers(),
+        responseMemory,
         callId: `call-${Math.random()}`,
         address: { host: '127.0.0.1', port },
         method: 'POST',
@@ -49,7 +51,7 @@
       const message = result.response;
       const answer = await readGatewayBody(
         { message, isErrorFree: () => endpointCall.isErrorFree() },
-        new MemoryBudget({ limitBytes: 1_000_000 }),
+        responseMemory,
       );
       return answer.kind === 'complete'
         ? { status: message.statusCode!, bytes: answer.body.length }
--- a/tests/gateway/repeatedCallIds.test.ts
+++ b/tests/gateway/repeatedCallIds.test.ts
@@ -3,6 +3,7 @@
 import type { Socket } from 'node:net';
 import { test, type TestContext } from 'node:test';
 import { expect } from 'earl';
+import { MemoryBudget } from '../../src/core/memoryBudget.js';
 import { SystemTimers } from '../../src/core/timers.js';
 import { EndpointAgent } from '../../src/gateway/forward/endpointAgent.js';
 import { EndpointCall } from '../../src/gateway/forward/endpointCall.js';
@@ -134,6 +135,7 @@
     const call = new EndpointCall({
       agent,
       timers,
+      responseMemory: new MemoryBudget({ limitBytes: 1_000_000 }),
       callId,
       address: { host: '127.0.0.1', port },
       method: 'GET',
--- a/tests/reports/unboundedResponse.test.ts
+++ b/tests/reports/unboundedResponse.test.ts
@@ -82,12 +82,16 @@
   };
 }
 
+const BLANK_LINES = '\r\n'.repeat(32_768);
+const INTERIM_RESPONSE = 'HTTP/1.1 103 Early Hints\r\n\r\n';
 const chunk = `10000\r\n${CHUNK}\r\n`;
 const endlessResponses: readonly (readonly [string, string, string])[] = [
   ['bytes that are not HTTP', 'no answer at all', CHUNK],
   ['an endless header', 'HTTP/1.1 200 OK\r\nx: ', CHUNK],
   ['endless headers', 'HTTP/1.1 200 OK\r\n', 'x: y\r\n'.repeat(2_000)],
-  ['endless interim responses', '', 'HTTP/1.1 103 Early Hints\r\n\r\n'.repeat(500)],
+  ['endless blank lines before a status line', '', BLANK_LINES],
+  ['endless blank lines after an interim response', INTERIM_RESPONSE, BLANK_LINES],
+  ['endless interim responses', '', INTERIM_RESPONSE.repeat(500)],
   ['an endless event', `HTTP/1.1 200 OK\r\n${SEAL}transfer-encoding: chunked\r\n\r\n`, chunk],
   ['an endless body without a length', `HTTP/1.1 200 OK\r\n${SEAL}\r\n`, CHUNK],
   ['an endless error response', 'HTTP/1.1 500 Error\r\ntransfer-encoding: chunked\r\n\r\n', chunk],
@@ -172,6 +176,32 @@
   },
 );
 
+// Failure (review case 6): the parser skips blank lines without end, all of which were kept, and the process ran out of memory.
+test(
+  'endless blank lines to many calls stay within the memory of a gateway, and other calls are answered',
+  TIMEOUT,
+  async (context) => {
+    const fleet = await GatewayFleet.start(context);
+    await fleet.configure([createRoute('/a/')]);
+    const server = await startEndlessServer(context, '', BLANK_LINES, true);
+    await fleet.listEndpoint('faulty', server.port);
+    const { buffersMb, stallMs } = await measure(async () => {
+      const calls = Array.from({ length: CALLS }, () => fleet.call('/a/x'));
+      await fleet.waitFor(() => server.getHeldCalls() === CALLS);
+      await fleet.addEndpoint('sound', (message, response) => {
+        setTimeout(() => sendResponse(message, response, 'y'), 100);
+        server.release();
+      });
+      const sound = await fleet.call('/a/sound');
+      expect([sound.status, sound.isComplete]).toEqual([200, true]);
+      const statuses = (await Promise.all(calls)).map(({ status }) => status);
+      expect(new Set(statuses)).toEqual(new Set([502]));
+    });
+    expect(buffersMb).toBeLessThan(BUFFERS_MB_MAX);
+    expect(stallMs).toBeLessThan(STALL_MS_MAX);
+  },
+);
+
 const tinyChunks = '1\r\nx\r\n'.repeat(10_000);
 const CHUNKED = 'transfer-encoding: chunked\r\n\r\n';
 
