Keep no bytes of a response that its caller no longer waits for

A call that may not be aborted goes on for up to 30 s after its caller has its 504, and its body, up to 8 MiB, was kept all that time. Three such bodies fill the 24 MiB that all responses share, and then a response with a waiting caller may be given up.

Cause: the end of the wait ended nothing in the reader of the body.

Change: when the wait ends, the bytes are freed and the rest is read without being kept, up to the same limits of size and time, so that the endpoint can complete the call.

Evidence: the new test of endpointCall needs the new argument; with it ignored, as before, the budget keeps 100,000 bytes.

--- a/src/gateway/forward/endpointAttempt.ts
+++ b/src/gateway/forward/endpointAttempt.ts
@@ -81,12 +81,16 @@
 
   private isStopped = false;
 
+  /** Aborted when the caller no longer waits for a call that goes on; `undefined` if the route's calls are aborted. */
+  private readonly unneeded: AbortController | undefined;
+
   private cancelAbandonedTimeout: Unsubscribe = () => {};
 
   private resolveStopped: () => void = () => {};
 
   constructor(private readonly options: EndpointAttemptOptions) {
     const { call, endpoint, timers, agent, responseMemory } = options;
+    this.unneeded = isAbortable(call.route) ? undefined : new AbortController();
     this.promptTokens = call.metadata.tokens?.prompt ?? 0;
     // A stream that resumes was answered by the endpoint before.
     this.isAnswered = options.stream?.hasSentEvents() ?? false;
@@ -139,7 +143,8 @@
     if (isAbortable(call.route)) {
       this.endpointCall.abort();
     } else {
-      // The rest of the response is not needed; an endpoint that never ends it must not keep the connection open.
+      this.unneeded?.abort();
+      // An endpoint that never ends its response must not keep the connection open.
       this.cancelAbandonedTimeout = timers.subscribe(ABANDONED_CALL_TIMEOUT_MS, () =>
         this.endpointCall.abort(),
       );
@@ -265,8 +270,13 @@
     response: IncomingResponse,
     metadata: ResponseMetadata,
   ): Promise<AttemptResult> {
-    const { responseMemory } = this.options;
-    const result = await readResponseBody(response, responseMemory);
+    const { responseMemory, endpoint, timers } = this.options;
+    const result = await readResponseBody(response, responseMemory, this.unneeded?.signal);
+    if (result.kind === 'discarded') {
+      endpoint.breaker.record(true, timers.now());
+      this.recordAnswered();
+      return { kind: 'aborted' };
+    }
     if (result.kind === 'broken') {
       return this.isStopped ? { kind: 'aborted' } : this.fail('broken', result.detail);
     }
--- a/src/gateway/forward/responseRelay.ts
+++ b/src/gateway/forward/responseRelay.ts
@@ -29,48 +29,68 @@
 /** The body of a response, or the reason why it can't be used. */
 export type BodyResult =
   | { readonly kind: 'complete'; readonly body: Buffer }
+  /** The response is complete, but its body was not needed any more. */
+  | { readonly kind: 'discarded' }
   | { readonly kind: 'broken'; readonly detail: string };
 
-/** Reads the body of a response. Gives up one that is truncated or too long, alone or together with other bodies. */
+/**
+ * Reads the body of a response. Gives up one that is truncated or too long, alone or together with other bodies. Once
+ * `unneeded` is aborted, the body is still read to its end, but no bytes are kept.
+ */
 export function readResponseBody(
   { message: response, isErrorFree }: IncomingResponse,
   memory: MemoryBudget,
+  unneeded?: AbortSignal,
 ): Promise<BodyResult> {
   return new Promise((resolve) => {
-    const body = new ByteCollector();
+    let body = new ByteCollector();
+    let receivedBytes = 0;
     const giveUp = (detail: string) => {
       resolve({ kind: 'broken', detail });
       response.destroy();
     };
-    const share = memory.open((usedBytes) =>
-      giveUp(`the largest of the responses being read, which hold ${usedBytes} bytes`),
-    );
+    const share = memory.open((usedBytes) => giveUp(describeEviction(usedBytes)));
+    const discard = () => {
+      share.close();
+      body = new ByteCollector();
+    };
+    unneeded?.addEventListener('abort', discard);
     const fail = () => resolve({ kind: 'broken', detail: 'response truncated' });
     response.on('data', (chunk: Buffer) => {
       if (response.destroyed) {
         return;
       }
-      body.append(chunk);
-      share.add(chunk.length);
-      if (body.length > BUFFERED_BODY_BYTES_MAX) {
+      receivedBytes += chunk.length;
+      if (!unneeded?.aborted) {
+        body.append(chunk);
+        share.add(chunk.length);
+      }
+      if (receivedBytes > BUFFERED_BODY_BYTES_MAX) {
         giveUp(`response exceeds ${BUFFERED_BODY_BYTES_MAX} bytes`);
       }
     });
     response.on('end', () => {
-      if (response.complete && isErrorFree()) {
-        resolve({ kind: 'complete', body: body.getBytes() });
-      } else {
+      if (!response.complete || !isErrorFree()) {
         fail();
+      } else if (unneeded?.aborted) {
+        resolve({ kind: 'discarded' });
+      } else {
+        resolve({ kind: 'complete', body: body.getBytes() });
       }
     });
     response.on('error', fail);
     response.on('close', () => {
+      unneeded?.removeEventListener('abort', discard);
       share.close();
       fail();
     });
   });
 }
 
+function describeEviction(usedBytes: number): string {
+  return `the largest of the responses being read, which hold ${usedBytes} bytes`;
+}
+
 /**
  * Reads and discards the rest of a response, so that its connection can be reused. Closes the connection if the
  * response is long or slow.
--- a/tests/gateway/endpointCall.test.ts
+++ b/tests/gateway/endpointCall.test.ts
@@ -138,3 +138,32 @@
   await once(server, 'close');
   expect(await getResultKind(callPort(port, agent).result)).toEqual('unreachable');
 });
+
+// Failure: bodies that no caller waits for any more fill the memory that all responses share, and others are given up.
+test('a body that is not needed any more gives its memory back at once, and is read to its end', async (context) => {
+  const sockets: Socket[] = [];
+  const server = await startServer(context, (socket) => {
+    sockets.push(socket);
+    socket.once('data', () =>
+      socket.write(`${HEAD}Content-Length: 200000\r\n\r\n${'x'.repeat(100_000)}`),
+    );
+  });
+  const endpointCall = call(server, createAgent(context));
+  const result = await endpointCall.result;
+  if (result.kind !== 'answered') {
+    throw new Error(`not answered: ${result.kind}`);
+  }
+  const memory = new MemoryBudget({ limitBytes: 1_000_000 });
+  const unneeded = new AbortController();
+  const response = { message: result.response, isErrorFree: () => endpointCall.isErrorFree() };
+  const body = readResponseBody(response, memory, unneeded.signal);
+  while (memory.getUsedBytes() < 100_000) {
+    // Polls for bytes that are on their way.
+    await new SystemTimers().sleep(5);
+  }
+  unneeded.abort();
+  expect(memory.getUsedBytes()).toEqual(0);
+  sockets[0]!.write('x'.repeat(100_000));
+  expect(await body).toEqual({ kind: 'discarded' });
+  expect(memory.getUsedBytes()).toEqual(0);
+});
