Break off streams that send bytes without events

An engine in trouble whose body is blank lines, comments or the same event without end was passed on or read until the deadline of its caller, at the speed of the link; and of incomplete events only each was bounded (256 KiB), not all of them together.

Cause: the limit of a stream counted the bytes of an incomplete event only. Blank lines and comments are complete.

Change: a stream is broken off after 262,144 bytes without an event that is passed on. Incomplete events count towards the 24 MiB that all responses being read share.

--- a/src/gateway/filters/forwardCall.ts
+++ b/src/gateway/filters/forwardCall.ts
@@ -170,6 +170,7 @@
       this.stream = new StreamRelay({
         call,
         tokensPerEvent: service?.engine?.tokensPerEvent ?? 1,
+        responseMemory: connections.responseMemory,
         onEvents: () => this.recordEvents(),
       });
     }
--- a/src/gateway/forward/eventSplitter.ts
+++ b/src/gateway/forward/eventSplitter.ts
@@ -54,6 +54,11 @@
     return this.remainder.length > EVENT_BYTES_MAX;
   }
 
+  /** Returns the number of bytes after the last complete event. */
+  getPartialLength(): number {
+    return this.remainder.length;
+  }
+
   /** Returns the bytes after the last complete event. */
   getRemainder(): Buffer {
     return this.remainder.getBytes();
--- a/src/gateway/forward/responseRelay.ts
+++ b/src/gateway/forward/responseRelay.ts
@@ -16,6 +16,8 @@
   | { readonly kind: 'broken'; readonly detail: string };
 
 const BUFFERED_BODY_BYTES_MAX = 8 * 1_048_576;
+/** An endpoint that sends comments, blank lines or events again without end sends no answer. */
+const BYTES_WITHOUT_EVENT_MAX = 262_144;
 const DISCARD_BYTES_MAX = 65_536; // more than the body of a refusal
 const DISCARD_TIMEOUT_MS = 1_000; // opening a new connection costs less than a longer wait
 
@@ -112,6 +114,8 @@
 export interface StreamRelayOptions {
   readonly call: GatewayCall;
   readonly tokensPerEvent: number;
+  /** Shared by all responses that are being read. */
+  readonly responseMemory: MemoryBudget;
   /** Called whenever new events arrive. */
   readonly onEvents: () => void;
 }
@@ -120,6 +124,7 @@
 export class StreamRelay {
   private lastEventId: string | undefined;
 
+  /** Includes comments. */
   private sentEventCount = 0;
 
   /** The head of the first response that began the stream. */
@@ -146,6 +151,7 @@
     const head = { status: metadata.status, contentType: response.headers['content-type'] };
     const mismatch = this.head && findHeadMismatch(this.head, head);
     let isResuming = this.hasSentEvents();
+    let bytesWithoutEvent = 0;
     let hasEvents = false;
     let isGivenUp = false;
     return new Promise((resolve) => {
@@ -155,11 +161,17 @@
         resolve({ kind: 'broken', detail });
         response.destroy();
       };
+      const share = this.options.responseMemory.open((usedBytes) =>
+        giveUp(describeEviction(usedBytes)),
+      );
       response.on('data', (chunk: Buffer) => {
         if (isGivenUp) {
           return;
         }
         const { events, isForeign } = this.selectEvents(splitter.push(chunk), isResuming);
+        const isProgress = events.some(({ kind }) => kind === 'event');
+        bytesWithoutEvent = isProgress ? 0 : bytesWithoutEvent + chunk.length;
+        share.add(splitter.getPartialLength() - share.bytes);
         if (events.length > 0) {
           this.head ??= head;
           this.options.onEvents();
@@ -171,6 +183,8 @@
           giveUp('bytes that are no event of the stream');
         } else if (splitter.isOverlong()) {
           giveUp('event exceeds the size limit');
+        } else if (bytesWithoutEvent > BYTES_WITHOUT_EVENT_MAX) {
+          giveUp(`no event within ${BYTES_WITHOUT_EVENT_MAX} bytes`);
         }
       });
       response.on('end', () => {
@@ -184,7 +198,10 @@
         resolve(detail === undefined ? this.finish(metadata) : { kind: 'broken', detail });
       });
       response.on('error', (error) => resolve({ kind: 'broken', detail: error.message }));
-      response.on('close', () => resolve({ kind: 'broken', detail: 'response truncated' }));
+      response.on('close', () => {
+        share.close();
+        resolve({ kind: 'broken', detail: 'response truncated' });
+      });
       if (mismatch !== undefined) {
         giveUp(mismatch);
       }
--- a/tests/reports/unboundedResponse.test.ts
+++ b/tests/reports/unboundedResponse.test.ts
@@ -9,6 +9,7 @@
 import { HttpPeerClient } from '../../src/peers/peerRpc.js';
 import { brandId } from '../../src/types/ids.js';
 import { createRoute, GatewayFleet, sendResponse } from '../support/gatewayFleet.js';
+import { startRawEndpoint } from '../support/rawEndpoint.js';
 
 const TIMEOUT = { timeout: 30_000 };
 const CHUNK = 'x'.repeat(65_536);
@@ -18,6 +19,7 @@
 const BUFFERS_MB_MAX = 190;
 /** So many bodies of the largest size exceed the memory of a gateway. */
 const CALLS = 60;
+const INCOMPLETE_EVENTS = 150;
 /** Callers leave a gateway that has not read their call after one second. */
 const STALL_MS_MAX = 1_000;
 /** The headers of a valid endpoint. The server replaces `CALL_ID`. */
@@ -129,6 +131,52 @@
   });
 });
 
+const STREAM_HEAD = `HTTP/1.1 200 OK\r\n${SEAL}content-type: text/event-stream\r\n\r\n`;
+const FIRST_EVENT = 'id: 1\ndata: x\n\n';
+
+// Failure: an answer of blank lines, comments or repeated events was passed on until the caller's deadline.
+[
+  ['blank lines', STREAM_HEAD, BLANK_LINES],
+  ['blank lines after an event', STREAM_HEAD + FIRST_EVENT, BLANK_LINES],
+  ['comments', STREAM_HEAD, ': \n\n'.repeat(16_384)],
+  ['repeated events', STREAM_HEAD, FIRST_EVENT.repeat(4_000)],
+].forEach(([name, start, repeated]) => {
+  test(`a stream of endless ${name} is broken off`, TIMEOUT, async (context) => {
+    const fleet = await GatewayFleet.start(context);
+    await fleet.configure([createRoute('/s/', { isStream: true, timeoutMs: 20_000 })]);
+    const server = await startEndlessServer(context, start!, repeated!);
+    await fleet.listEndpoint('e1', server.port);
+    const { isComplete } = await fleet.call('/s/x');
+    expect(isComplete).toEqual(false);
+    await fleet.waitFor(() => server.getOpenSockets() === 0);
+    expect(server.getSentBytes()).toBeLessThan(64 * MEGABYTE);
+  });
+});
+
+// Failure: the limit on one incomplete event was the only one, so those of many streams exceeded the memory together.
+test(
+  'incomplete events of many streams share the memory of all responses',
+  TIMEOUT,
+  async (context) => {
+    const fleet = await GatewayFleet.start(context);
+    await fleet.configure([createRoute('/s/', { isStream: true, timeoutMs: 3_000 })]);
+    const server = await startRawEndpoint(context, (socket, { id }) => {
+      socket.write(STREAM_HEAD.replace('CALL_ID', id) + FIRST_EVENT + CHUNK.repeat(3));
+    });
+    await fleet.listEndpoint('e1', server.port);
+    const startedAt = performance.now();
+    const durations = await Promise.all(
+      Array.from({ length: INCOMPLETE_EVENTS }, async () => {
+        expect((await fleet.call('/s/x')).isComplete).toEqual(false);
+        return performance.now() - startedAt;
+      }),
+    );
+    // 150 times 192 KiB are 28 MiB, and 24 MiB are allowed.
+    const evictedCount = durations.filter((ms) => ms < 2_500).length;
+    expect([evictedCount > 0, evictedCount < INCOMPLETE_EVENTS / 2]).toEqual([true, true]);
+  },
+);
+
 /** Runs an action; returns the most memory that the process used beyond its state before, and the longest stall. */
 async function measure(
   action: () => Promise<void>,
