Charge no tokens for comments and blank lines of a stream

A faulty engine that sent comments or blank lines used up the prepaid total of its callers, up to the declared maximum of each call.

Change: comments are not counted. They are still passed on, and count as sent for the decision on a retry.

Evidence: the new test of gateway fails before (two calls served instead of three).

--- a/src/gateway/forward/responseRelay.ts
+++ b/src/gateway/forward/responseRelay.ts
@@ -124,7 +124,9 @@
 export class StreamRelay {
   private lastEventId: string | undefined;
 
-  /** Includes comments. */
+  private hasSent = false;
+
+  /** Without comments, which hold no tokens. */
   private sentEventCount = 0;
 
   /** The head of the first response that began the stream. */
@@ -132,9 +134,9 @@
 
   constructor(private readonly options: StreamRelayOptions) {}
 
-  /** Returns whether events were sent to the caller. */
+  /** Returns whether events or comments were sent to the caller. */
   hasSentEvents(): boolean {
-    return this.sentEventCount > 0;
+    return this.hasSent;
   }
 
   /** Returns the id of the last event sent to the caller. */
@@ -241,7 +243,8 @@
     if (!call.caller.isHeadSent()) {
       call.caller.sendHead(metadata.status, metadata.forwardedHeaders);
     }
-    this.sentEventCount += events.length;
+    this.hasSent = true;
+    this.sentEventCount += events.filter(({ kind }) => kind !== 'comment').length;
     this.lastEventId = events.findLast(({ id }) => id !== undefined)?.id ?? this.lastEventId;
     call.deliveredTokens = this.sentEventCount * tokensPerEvent;
     if (!call.caller.write(Buffer.concat(events.map(({ bytes }) => bytes)))) {
--- a/tests/gateway/gateway.test.ts
+++ b/tests/gateway/gateway.test.ts
@@ -177,6 +177,19 @@
   },
 );
 
+// Failure: blank lines and comments of a faulty endpoint used up a prepaid total, as each was charged like an event.
+test('comments and blank lines of a stream are not charged', TIMEOUT, async (context) => {
+  const fleet = await GatewayFleet.start(context);
+  await fleet.configure([createRoute('/a/', stream)], 400);
+  await fleet.addEndpoint('e1', (message, response) => {
+    sendEvents(message, response, [1]);
+    response.end(':\n\n\n\n'.repeat(50));
+  });
+  // Each call uses 100 tokens of input and 5 of output, of 400 in total, and declares 150.
+  const statuses = await fleet.callSequentially(4, '/a/x', TOKENS);
+  expect(statuses).toEqual([200, 200, 200, 402]);
+});
+
 test(
   'a call without delivered output is free, and one with output is charged its input once',
   TIMEOUT,
