--- a/review/lib-3/store.mjs
+++ b/review/lib-3/store.mjs
@@ -22,9 +22,21 @@
         bytes: record,
         key: record.toString('utf8', 5, keyEnd),
         value: record.subarray(keyEnd),
+        at: performance.now(),
       });
       position += 4 + length;
     }
+    this.wake();
+  }
+
+  /** Forgets the records of the last `ms`. */
+  rewind(ms) {
+    const oldestLost = performance.now() - ms;
+    this.records = this.records.filter(({ at }) => at < oldestLost);
+    this.wake();
+  }
+
+  wake() {
     const { listeners } = this;
     this.listeners = new Set();
     listeners.forEach((wake) => wake());
@@ -58,6 +70,14 @@
 
   lastBeats = new Map();
 
+  /** What the operator and the engines wrote last, by topic and key. */
+  written = new Map();
+
+  /** The number in `Store-Era`; `undefined` for a store that names none. */
+  era;
+
+  isAway = false;
+
   server = createServer({ keepAlive: true }, (message, response) => {
     this.handle(message, response).catch(() => response.destroy());
   });
@@ -95,13 +115,34 @@
     const head = Buffer.alloc(5);
     head.writeUInt32BE(1 + keyBytes.length + valueBytes.length);
     head.writeUInt8(keyBytes.length, 4);
-    this.getTopic(topic).append(Buffer.concat([head, keyBytes, valueBytes]));
+    this.written.set(`${topic}/${key}`, { topic, key, value });
+    if (!this.isAway) {
+      this.getTopic(topic).append(Buffer.concat([head, keyBytes, valueBytes]));
+    }
+  }
+
+  /** Is away: connections are closed without an answer. */
+  goAway() {
+    this.isAway = true;
+    this.server.closeAllConnections();
+  }
+
+  /** Comes back from a copy; the operator and the engines write again what they wrote. */
+  comeBack(copyAgeMs) {
+    this.era += 1;
+    this.topics.forEach((topic) => topic.rewind(copyAgeMs));
+    this.isAway = false;
+    this.written.forEach(({ topic, key, value }) => this.put(topic, key, value));
   }
 
   putConfig(config) {
     this.put('keyed.op', 'config', config);
   }
 
+  getEraHeaders() {
+    return this.era === undefined ? {} : { 'Store-Era': String(this.era) };
+  }
+
   /** The beat of an engine. */
   putEntry(id, entry) {
     this.lastBeats.set(id, performance.now());
@@ -120,6 +161,10 @@
   }
 
   async handle(message, response) {
+    if (this.isAway) {
+      response.destroy();
+      return;
+    }
     const url = new URL(message.url, 'http://store');
     const query = url.searchParams;
     const chunks = [];
@@ -130,7 +175,7 @@
       query.get('part') === '0' ? query.get('topic') : `${query.get('topic')}/${query.get('part')}`,
     );
     const sendJson = (status, body) => {
-      response.writeHead(status, { 'content-type': 'application/json' });
+      response.writeHead(status, { 'content-type': 'application/json', ...this.getEraHeaders() });
       response.end(JSON.stringify(body));
     };
     switch (`${message.method} ${url.pathname}`) {
@@ -159,6 +204,7 @@
         }
         const head = Buffer.alloc(16);
         head.writeBigUInt64BE(BigInt(topic.records.length));
+        response.writeHead(200, this.getEraHeaders());
         response.end(Buffer.concat([head, ...topic.records.slice(from).map(({ bytes }) => bytes)]));
         break;
       }
