--- a/review/lib-3/common.mjs
+++ b/review/lib-3/common.mjs
@@ -86,12 +86,15 @@
   const directory = mkdtempSync(join(tmpdir(), 'review-'));
   const endings = [];
   let code = 2;
-  const limit = setTimeout(() => {
-    record.say('not run: the script took longer than 115 s');
+  const giveUp = (reason) => {
+    record.say(`not run: ${reason}`);
     record.write();
     endings.forEach((end) => end());
+    rmSync(directory, { recursive: true, force: true });
     process.exit(2);
-  }, 115_000);
+  };
+  const limit = setTimeout(() => giveUp('the script took longer than 115 s'), 115_000);
+  ['SIGINT', 'SIGTERM', 'SIGHUP'].forEach((signal) => process.on(signal, () => giveUp(signal)));
   try {
     record.say(isTroubled ? 'with the disruption' : 'TROUBLE=0: without the disruption');
     const breaks = await run({ record, directory, onEnd: (end) => endings.push(end) });
