--- a/review/lib-3/engine.mjs
+++ b/review/lib-3/engine.mjs
@@ -142,6 +142,7 @@
       at: performance.now(),
     };
     this.runs.push(run);
+    this.options.record?.add(`${attempt} runs at engine ${id}, ${message.method} ${message.url}`);
     this.options.onRun?.(run, headers);
     const seal = { ...echo, 'Shallotrock-Instance-Seal': `${id}.${this.born}.${attempt}` };
     if (message.url.startsWith('/s')) {
